--- /dev/null
+++ b/src/core/controller.rs
@@ -0,0 +1,656 @@
+//! A controller's own part: the machines of its block, what it started on
+//! them, and what it tells the leader.
+use super::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, Resources, TaskId};
+use super::jobs::{Job, Ledger, Phase};
+use super::placement::{self, Candidate};
+use super::{Call, CallId, CallResult, Outbox, Target};
+use crate::peer::{GrantedMachine, HandOut, Held, MachineState, Outcome, StopRequest, TaskState};
+use crate::wire::workers::{Direct, Order, Report};
+use log::{debug, info, warn};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What is known of the sendings of a start by `/do`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sending {
+    /// None can still arrive.
+    Settled,
+    /// One is under way.
+    InFlight,
+    /// One was never answered; it may be executed minutes later.
+    Uncertain,
+}
+
+/// A start that this controller decided on.
+#[derive(Debug, Clone)]
+struct Start {
+    baton: Baton,
+    shift: u64,
+    need: Resources,
+    seen: bool,
+    sending: Sending,
+    /// The check-in whose answer last carried the start.
+    in_answer_to: Option<(u64, u64)>,
+}
+
+#[derive(Debug)]
+struct DirectCall {
+    call: CallId,
+    runs: Vec<(TaskId, Attempt)>,
+    status_only: bool,
+}
+
+/// A stop under way.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Stop {
+    grace: Micros,
+    sent_direct: bool,
+}
+
+/// A machine of the block.
+#[derive(Debug)]
+struct Worker {
+    baton: Baton,
+    addr: String,
+    draining: bool,
+    shift: u64,
+    tally: u64,
+    seen_baton: Baton,
+    heard: Option<Micros>,
+    warning: Option<(Micros, Micros)>,
+    tasks: Vec<Held>,
+    starts: BTreeMap<(TaskId, Attempt), Start>,
+    stops: BTreeMap<(TaskId, Attempt), Stop>,
+    /// Exited tasks and the `Sync` that first told of them.
+    exits: BTreeMap<(TaskId, Attempt), Option<u64>>,
+    direct: Option<DirectCall>,
+    /// Raise the token at the worker with a direct call.
+    announce: bool,
+    not_before: Micros,
+    images: BTreeSet<String>,
+}
+
+impl Worker {
+    fn new(g: &GrantedMachine) -> Self {
+        Worker {
+            baton: g.baton,
+            addr: g.addr.clone(),
+            draining: g.draining,
+            shift: 0,
+            tally: 0,
+            seen_baton: Baton(0),
+            heard: None,
+            warning: None,
+            tasks: Vec::new(),
+            starts: BTreeMap::new(),
+            stops: BTreeMap::new(),
+            exits: BTreeMap::new(),
+            direct: None,
+            announce: true,
+            not_before: Micros(0),
+            images: BTreeSet::new(),
+        }
+    }
+
+    fn has(&self, key: &(TaskId, Attempt)) -> bool {
+        self.tasks.iter().any(|t| (t.task, t.attempt) == *key)
+    }
+
+    /// Takes a report that is newer than what is known. `checkin` is true if
+    /// it came as a check-in, which proves earlier answers settled.
+    fn take(&mut self, r: &Report, tasks: Vec<Held>, checkin: bool, now: Micros) -> bool {
+        if (r.shift, r.tally) <= (self.shift, self.tally) {
+            return false;
+        }
+        self.shift = r.shift;
+        self.tally = r.tally;
+        self.seen_baton = self.seen_baton.max(Baton(r.baton));
+        self.heard = Some(now);
+        self.addr = r.addr.clone();
+        self.warning = r.warning_s.map(|s| (now, Micros::from_secs_f64(s)));
+        self.tasks = tasks;
+        for t in &self.tasks {
+            if let Some(s) = self.starts.get_mut(&(t.task, t.attempt)) {
+                s.seen = true;
+            }
+        }
+        let (shift, tally, baton) = (r.shift, r.tally, Baton(r.baton));
+        let present: BTreeSet<(TaskId, Attempt)> = self.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+        self.starts.retain(|k, s| {
+            if present.contains(k) {
+                return true;
+            }
+            // A later session, or a higher token: nothing sent before can be
+            // executed any more, and the report is without the task.
+            if shift > s.shift || baton > s.baton {
+                return false;
+            }
+            // It was here and was cleared; no sending may still arrive.
+            if s.seen {
+                return s.sending != Sending::Settled;
+            }
+            // A check-in after the one whose answer carried the start: that
+            // answer was dropped. The start is sent again.
+            if checkin && s.in_answer_to.is_some_and(|t| (shift, tally) > t) {
+                s.in_answer_to = None;
+            }
+            true
+        });
+        self.stops.retain(|k, _| present.contains(k) || self.starts.contains_key(k));
+        let exited: BTreeSet<(TaskId, Attempt)> =
+            self.tasks.iter().filter(|t| t.state.exited()).map(|t| (t.task, t.attempt)).collect();
+        self.exits.retain(|k, _| exited.contains(k));
+        for k in exited {
+            self.exits.entry(k).or_insert(None);
+        }
+        true
+    }
+
+    fn used(&self, ledger: &Ledger) -> Resources {
+        let mut used = Resources::default();
+        for t in self.tasks.iter().filter(|t| !t.state.exited()) {
+            used = used.plus(need_of(ledger, t.task.job));
+        }
+        for s in self.starts.iter().filter(|(k, _)| !self.has(k)) {
+            used = used.plus(s.1.need);
+        }
+        used
+    }
+}
+
+/// What a task of the job takes; a machine's worth if nobody knows.
+fn need_of(ledger: &Ledger, job: JobId) -> Resources {
+    ledger
+        .jobs
+        .get(&job)
+        .and_then(|j| j.spec.as_ref())
+        .map_or(Resources { cpu: 1_000_000, gpu: 0, mem: 1_000_000 }, |s| s.need)
+}
+
+fn over(job: Option<&Job>, index: u32) -> bool {
+    job.is_some_and(|j| j.phase != Phase::Active || j.done.contains(index))
+}
+
+/// What became of a hand-out, until the leader knows.
+#[derive(Debug)]
+struct Placed {
+    machine: Option<MachineId>,
+    told: Option<u64>,
+}
+
+/// The part's state.
+#[derive(Debug, Default)]
+pub struct Controller {
+    workers: BTreeMap<MachineId, Worker>,
+    outcomes: BTreeMap<Attempt, Placed>,
+    /// Term of the last update taken.
+    pub term: u64,
+    update_seq: u64,
+    /// Until then tasks may be started.
+    lease_until: Micros,
+    sync_seq: u64,
+    sync_sent: BTreeMap<u64, Micros>,
+    acked: u64,
+    /// Something changed that the leader should hear.
+    pub dirty: bool,
+    /// Who holds which machine.
+    pub directory: HashMap<MachineId, NodeId>,
+    /// Running tasks, as the leader last said.
+    pub running: HashMap<JobId, u32>,
+}
+
+/// Sizes of machine types by name.
+pub type Sizes = HashMap<String, Resources>;
+
+/// Reads the tasks of a report; `None` if the report makes no sense.
+pub fn read_tasks(r: &Report) -> Option<Vec<Held>> {
+    r.pieces
+        .iter()
+        .map(|p| {
+            let state = match (p.stage.as_str(), p.cause.as_deref()) {
+                ("pulling", _) => TaskState::Fetching,
+                ("running", _) => TaskState::Running,
+                ("flushing", _) => TaskState::Saving,
+                ("exited", Some("done")) => TaskState::Done,
+                ("exited", Some("halted")) => TaskState::Stopped,
+                ("exited", Some("error")) => TaskState::Failed,
+                ("exited", _) => TaskState::Refused,
+                // An unknown state is something that is there.
+                _ => TaskState::Running,
+            };
+            Some(Held { task: TaskId::parse(&p.piece)?, attempt: Attempt(p.attempt), state })
+        })
+        .collect()
+}
+
+/// What to answer to a check-in.
+#[derive(Debug, PartialEq)]
+pub enum CheckinReply {
+    /// 200 with these orders.
+    Orders(Baton, Vec<Order>),
+    /// 421, naming the holder if it is known.
+    Elsewhere(Option<NodeId>),
+}
+
+impl Controller {
+    /// Whether this controller holds a machine.
+    pub fn holds(&self, id: &MachineId) -> bool {
+        self.workers.contains_key(id)
+    }
+
+    /// Number of machines held.
+    pub fn held(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Whether tasks may be started now.
+    pub fn lease_valid(&self, now: Micros) -> bool {
+        now < self.lease_until
+    }
+
+    /// A check-in.
+    pub fn checkin(&mut self, r: &Report, tasks: Vec<Held>, ledger: &Ledger, now: Micros) -> CheckinReply {
+        let id = MachineId(r.host.clone());
+        let Some(w) = self.workers.get_mut(&id) else {
+            return CheckinReply::Elsewhere(self.directory.get(&id).copied());
+        };
+        if Baton(r.baton) > w.baton {
+            // Somebody holds it under a higher token: this node's word is void.
+            info!("{id}: lost to a higher token {}", r.baton);
+            self.workers.remove(&id);
+            self.dirty = true;
+            let to = self.directory.remove(&id);
+            return CheckinReply::Elsewhere(to);
+        }
+        if !w.take(r, tasks, true, now) {
+            // A late report: its sender is gone, and its tasks are old.
+            return CheckinReply::Orders(w.baton, Vec::new());
+        }
+        self.dirty = true;
+        let may_start = now < self.lease_until;
+        let orders = self.orders(&id, ledger, true, may_start);
+        let w = &self.workers[&id];
+        CheckinReply::Orders(w.baton, orders)
+    }
+
+    /// Orders for a machine; `answer` if they go out in a check-in's answer.
+    fn orders(&mut self, id: &MachineId, ledger: &Ledger, answer: bool, may_start: bool) -> Vec<Order> {
+        let acked = self.acked;
+        let Some(w) = self.workers.get_mut(id) else { return Vec::new() };
+        let mut out = Vec::new();
+        let order = |verb: &str, k: &(TaskId, Attempt), grace: Option<f64>| Order {
+            verb: verb.into(),
+            piece: k.0.to_string(),
+            attempt: k.1.0,
+            wind_down_s: grace,
+        };
+        for t in &w.tasks {
+            let k = (t.task, t.attempt);
+            if t.state.exited() {
+                // `clear` goes only into answers to check-ins, after which no
+                // earlier answer can be executed; and only when no `/do` with
+                // the start is open, or a late one would start it again.
+                let settled = w.starts.get(&k).is_none_or(|s| s.sending == Sending::Settled);
+                let recorded = match t.state {
+                    TaskState::Done => over(ledger.jobs.get(&t.task.job), t.task.index),
+                    _ => w.exits.get(&k).copied().flatten().is_some_and(|seq| seq <= acked),
+                };
+                if answer && settled && recorded {
+                    out.push(order("clear", &k, None));
+                }
+                continue;
+            }
+            let unwanted = over(ledger.jobs.get(&t.task.job), t.task.index);
+            let stop = w.stops.get(&k).copied();
+            let grace = if unwanted {
+                Some(Micros(0))
+            } else {
+                // A task that saves is left to it.
+                stop.map(|s| s.grace).filter(|g| t.state != TaskState::Saving || g.0 == 0)
+            };
+            let Some(grace) = grace else { continue };
+            let sent = stop.is_some_and(|s| s.sent_direct && s.grace == grace);
+            if answer || !sent {
+                out.push(order("halt", &k, Some(grace.as_secs_f64())));
+                w.stops.insert(k, Stop { grace, sent_direct: sent || !answer });
+            }
+        }
+        if may_start {
+            let present: BTreeSet<(TaskId, Attempt)> = w.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+            for (k, s) in w.starts.iter_mut() {
+                let unwanted = over(ledger.jobs.get(&k.0.job), k.0.index) || w.stops.contains_key(k);
+                if s.seen || present.contains(k) || unwanted || s.baton != w.baton || s.shift != w.shift {
+                    continue;
+                }
+                if answer {
+                    s.in_answer_to = Some((w.shift, w.tally));
+                    out.push(order("run", k, None));
+                } else if s.sending == Sending::Settled && s.in_answer_to.is_none() {
+                    out.push(order("run", k, None));
+                }
+            }
+        }
+        out
+    }
+
+    /// Drops starts that nobody wants and that can't have arrived.
+    fn drop_unwanted(&mut self, ledger: &Ledger) {
+        for w in self.workers.values_mut() {
+            let present: BTreeSet<(TaskId, Attempt)> = w.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+            let before = w.starts.len();
+            let stops = &w.stops;
+            w.starts.retain(|k, s| {
+                let unwanted = over(ledger.jobs.get(&k.0.job), k.0.index) || stops.contains_key(k);
+                let open = s.sending != Sending::Settled || s.in_answer_to.is_some();
+                !unwanted || s.seen || present.contains(k) || open
+            });
+            self.dirty |= before != w.starts.len();
+        }
+    }
+
+    /// Sends what is due to the workers, one call at a time to each.
+    pub fn drive(&mut self, ledger: &Ledger, now: Micros, out: &mut Outbox) -> Vec<(CallId, MachineId)> {
+        self.drop_unwanted(ledger);
+        let may_start = now < self.lease_until;
+        let ids: Vec<MachineId> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.direct.is_none() && !w.addr.is_empty() && now >= w.not_before)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut calls = Vec::new();
+        for id in ids {
+            let Some(w) = self.workers.get(&id) else { continue };
+            if w.shift == 0 {
+                if w.announce {
+                    let call = out.call(Call {
+                        target: Target::Worker(w.addr.clone()),
+                        method: "GET",
+                        path: "/status".into(),
+                        body: Vec::new(),
+                        timeout: Micros::millis(1500),
+                    });
+                    calls.push((call, id.clone()));
+                    if let Some(w) = self.workers.get_mut(&id) {
+                        w.direct = Some(DirectCall { call, runs: Vec::new(), status_only: true });
+                    }
+                }
+                continue;
+            }
+            let orders = self.orders(&id, ledger, false, may_start);
+            let Some(w) = self.workers.get_mut(&id) else { continue };
+            if orders.is_empty() && !w.announce {
+                continue;
+            }
+            w.announce = false;
+            let runs: Vec<(TaskId, Attempt)> = orders
+                .iter()
+                .filter(|o| o.verb == "run")
+                .filter_map(|o| Some((TaskId::parse(&o.piece)?, Attempt(o.attempt))))
+                .collect();
+            for k in &runs {
+                if let Some(s) = w.starts.get_mut(k) {
+                    s.sending = Sending::InFlight;
+                }
+            }
+            let body = Direct { baton: w.baton.0, shift: w.shift, orders };
+            let call = out.call(Call {
+                target: Target::Worker(w.addr.clone()),
+                method: "POST",
+                path: "/do".into(),
+                body: serde_json::to_vec(&body).unwrap_or_default(),
+                timeout: Micros::millis(2000),
+            });
+            w.direct = Some(DirectCall { call, runs, status_only: false });
+            calls.push((call, id));
+        }
+        calls
+    }
+
+    /// A direct call ended.
+    pub fn called(&mut self, id: &MachineId, call: CallId, result: &CallResult, now: Micros) {
+        let Some(w) = self.workers.get_mut(id) else { return };
+        if w.direct.as_ref().is_none_or(|d| d.call != call) {
+            return;
+        }
+        let Some(d) = w.direct.take() else { return };
+        let fate = match result {
+            CallResult::Answer { status: 200 | 400 | 409, .. } | CallResult::NotSent => Sending::Settled,
+            _ => Sending::Uncertain,
+        };
+        for k in &d.runs {
+            if let Some(s) = w.starts.get_mut(k) {
+                s.sending = fate;
+            }
+        }
+        match result {
+            CallResult::Answer { status: status @ (200 | 409), body } => {
+                let report: Option<Report> = serde_json::from_slice(body).ok();
+                let Some((r, tasks)) = report.and_then(|r| read_tasks(&r).map(|t| (r, t))) else {
+                    warn!("{id}: unreadable report");
+                    w.not_before = now + Micros::secs(1);
+                    return;
+                };
+                if r.host != id.0 {
+                    // Another machine has the address now.
+                    w.not_before = now + Micros::secs(1);
+                    return;
+                }
+                self.dirty = true;
+                if Baton(r.baton) > w.baton {
+                    info!("{id}: lost to a higher token {}", r.baton);
+                    self.workers.remove(id);
+                    return;
+                }
+                w.take(&r, tasks, false, now);
+                if *status == 409 || d.status_only {
+                    w.announce = true;
+                }
+            }
+            CallResult::Answer { status, .. } => {
+                debug!("{id}: direct call answered {status}");
+                w.not_before = now + Micros::secs(1);
+            }
+            CallResult::NotSent | CallResult::Unknown => {
+                debug!("{id}: direct call failed: {result:?}");
+                w.announce = w.announce || w.seen_baton < w.baton;
+                w.not_before = now + Micros::millis(700);
+            }
+        }
+    }
+
+    /// Takes the leader's block. Returns the machines that were added.
+    pub fn take_block(&mut self, block: &[GrantedMachine]) -> Vec<MachineId> {
+        let mut added = Vec::new();
+        let keep: BTreeSet<&MachineId> = block.iter().map(|g| &g.id).collect();
+        let before = self.workers.len();
+        self.workers.retain(|id, _| keep.contains(id));
+        self.dirty |= before != self.workers.len();
+        for g in block {
+            match self.workers.get_mut(&g.id) {
+                None => {
+                    self.workers.insert(g.id.clone(), Worker::new(g));
+                    added.push(g.id.clone());
+                    self.dirty = true;
+                }
+                Some(w) => {
+                    w.draining = g.draining;
+                    if w.addr.is_empty() {
+                        w.addr = g.addr.clone();
+                    }
+                    if g.baton > w.baton {
+                        w.baton = g.baton;
+                        w.announce = true;
+                        w.not_before = Micros(0);
+                        added.push(g.id.clone());
+                        self.dirty = true;
+                    }
+                }
+            }
+        }
+        added
+    }
+
+    /// Whether an update is news, and not one that was held up on the way.
+    pub fn accept_update(&mut self, term: u64, seq: u64) -> bool {
+        if term < self.term || (term == self.term && seq <= self.update_seq) {
+            return false;
+        }
+        if term > self.term {
+            // Seqs and outcomes belong to a term's leader.
+            self.outcomes.clear();
+            self.acked = 0;
+            self.sync_sent.clear();
+            self.lease_until = Micros(0);
+            for w in self.workers.values_mut() {
+                w.exits.values_mut().for_each(|e| *e = None);
+            }
+        }
+        self.term = term;
+        self.update_seq = seq;
+        true
+    }
+
+    /// The leader took the `Sync` numbered `ack`.
+    pub fn take_ack(&mut self, ack: u64, lease: Micros) {
+        if let Some(sent) = self.sync_sent.get(&ack).copied() {
+            // Less 0.1% for the drift between the clocks.
+            self.lease_until = self.lease_until.max(sent + lease.scale(999, 1000));
+        }
+        self.sync_sent.retain(|s, _| *s >= ack);
+        if ack > self.acked {
+            self.acked = ack;
+            self.outcomes.retain(|_, p| p.told.is_none_or(|t| t > ack));
+        }
+    }
+
+    /// Takes hand-outs, starting what fits.
+    pub fn take_handouts(&mut self, handouts: &[HandOut], ledger: &Ledger, sizes: &Sizes, now: Micros) {
+        for h in handouts {
+            if self.outcomes.contains_key(&h.attempt) {
+                continue;
+            }
+            let machine = self.place(h, ledger, sizes, now);
+            if machine.is_none() {
+                debug!("{}: no room for hand-out {}", h.task, h.attempt.0);
+            }
+            self.outcomes.insert(h.attempt, Placed { machine, told: None });
+            self.dirty = true;
+        }
+    }
+
+    fn place(&mut self, h: &HandOut, ledger: &Ledger, sizes: &Sizes, now: Micros) -> Option<MachineId> {
+        let job = ledger.jobs.get(&h.task.job)?;
+        let spec = job.spec.as_ref()?;
+        if over(Some(job), h.task.index) || now >= self.lease_until {
+            return None;
+        }
+        let mut best: Option<((u8, (u8, u8, u64)), MachineId)> = None;
+        for (id, w) in &self.workers {
+            // Only machines granted before the hand-out: the leader bound the
+            // task to those. Only recorded ones, and only once the worker has
+            // this grant's token: what else it may hold is known then.
+            if w.baton.0 >= h.attempt.0 || w.draining || w.seen_baton != w.baton || w.warning.is_some() {
+                continue;
+            }
+            if w.heard.is_none_or(|t| now.since(t) > Micros::secs(5)) {
+                continue;
+            }
+            let (Some(m), true) = (ledger.machines.get(id), w.shift > 0) else { continue };
+            let Some(size) = sizes.get(&m.build) else { continue };
+            let c = Candidate {
+                build: &m.build,
+                zone: &m.zone,
+                spot: m.spot,
+                size,
+                free: size.minus(w.used(ledger)),
+                image: w.images.contains(&spec.image),
+            };
+            let Some(s) = placement::score(spec, &c, h.zone.as_deref()) else { continue };
+            // The leader chose by the same measure and reserved room there.
+            let s = ((*id != h.hint) as u8, s);
+            if best.as_ref().is_none_or(|(b, _)| s < *b) {
+                best = Some((s, id.clone()));
+            }
+        }
+        let (_, id) = best?;
+        let w = self.workers.get_mut(&id)?;
+        w.images.insert(spec.image.clone());
+        w.starts.insert(
+            (h.task, h.attempt),
+            Start {
+                baton: w.baton,
+                shift: w.shift,
+                need: spec.need,
+                seen: false,
+                sending: Sending::Settled,
+                in_answer_to: None,
+            },
+        );
+        Some(id)
+    }
+
+    /// Takes the leader's stops.
+    pub fn take_stops(&mut self, stops: &[StopRequest]) {
+        for s in stops {
+            if let Some(w) = self.workers.get_mut(&s.machine) {
+                let k = (s.task, s.attempt);
+                if w.has(&k) || w.starts.contains_key(&k) {
+                    let grace = w.stops.get(&k).map_or(s.grace, |o| o.grace.min(s.grace));
+                    let sent_direct = w.stops.get(&k).is_some_and(|o| o.sent_direct && o.grace == grace);
+                    w.stops.insert(k, Stop { grace, sent_direct });
+                }
+            }
+        }
+    }
+
+    /// This controller's view, for the leader.
+    pub fn sync(&mut self, ledger: &Ledger, now: Micros) -> (u64, Vec<MachineState>, Vec<Outcome>) {
+        self.sync_seq += 1;
+        let seq = self.sync_seq;
+        self.sync_sent.insert(seq, now);
+        while self.sync_sent.len() > 64 {
+            self.sync_sent.pop_first();
+        }
+        self.dirty = false;
+        let machines = self
+            .workers
+            .iter_mut()
+            .map(|(id, w)| {
+                w.exits.values_mut().for_each(|e| *e = e.or(Some(seq)));
+                let mut tasks = w.tasks.clone();
+                let mut want_baton = false;
+                for (k, s) in &w.starts {
+                    let in_report = w.tasks.iter().find(|t| (t.task, t.attempt) == *k);
+                    if in_report.is_none() {
+                        tasks.push(Held { task: k.0, attempt: k.1, state: TaskState::Starting });
+                    }
+                    let unwanted = over(ledger.jobs.get(&k.0.job), k.0.index) || w.stops.contains_key(k);
+                    let ended = in_report.is_some_and(|t| t.state.exited());
+                    let ghost = s.seen && in_report.is_none();
+                    want_baton |= s.sending == Sending::Uncertain
+                        && s.baton == w.baton
+                        && (ended || ghost || (unwanted && in_report.is_none()));
+                }
+                MachineState {
+                    id: id.clone(),
+                    baton: w.baton,
+                    seen_baton: w.seen_baton,
+                    shift: w.shift,
+                    heard_ago: w.heard.map(|t| now.since(t)),
+                    warning: w.warning.map(|(at, left)| left - now.since(at)),
+                    want_baton,
+                    tasks,
+                }
+            })
+            .collect();
+        let outcomes = self
+            .outcomes
+            .iter_mut()
+            .map(|(a, p)| {
+                p.told = p.told.or(Some(seq));
+                Outcome { attempt: *a, machine: p.machine.clone() }
+            })
+            .collect();
+        (seq, machines, outcomes)
+    }
+}
--- /dev/null
+++ b/src/core/election.rs
@@ -0,0 +1,115 @@
+//! Who leads: a key in the state service that hangs on a lease, and a term
+//! that rises in the transaction that takes the key.
+use super::ids::Micros;
+
+/// This node's part in the election.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Role {
+    /// Follows whoever leads.
+    Follower,
+    /// Asks for a lease, or takes the key with it.
+    Candidate,
+    /// Holds the key.
+    Leader {
+        /// Its term.
+        term: u64,
+        /// The lease the key hangs on.
+        lease: u64,
+        /// Version of the leader's key.
+        stamp: u64,
+    },
+}
+
+/// Timing of a lease that must not be overrun.
+#[derive(Debug, Clone)]
+pub struct Election {
+    /// Part played.
+    pub role: Role,
+    /// The lease's life.
+    pub life: Micros,
+    /// Sending time of the last renewal that was confirmed.
+    confirmed: Micros,
+    /// When the last renewal was sent.
+    pub last_sent: Micros,
+    /// A renewal is under way.
+    pub renewing: bool,
+    /// No attempt before this.
+    pub not_before: Micros,
+}
+
+impl Election {
+    /// A follower.
+    pub fn new(life: Micros) -> Self {
+        Election {
+            role: Role::Follower,
+            life,
+            confirmed: Micros(0),
+            last_sent: Micros(0),
+            renewing: false,
+            not_before: Micros(0),
+        }
+    }
+    /// The key was taken; the lease was asked for at `asked`.
+    pub fn won(&mut self, term: u64, lease: u64, stamp: u64, asked: Micros) {
+        self.role = Role::Leader { term, lease, stamp };
+        self.confirmed = asked;
+        self.last_sent = asked;
+        self.renewing = false;
+    }
+    /// A renewal sent at `sent` succeeded.
+    pub fn renewed(&mut self, sent: Micros) {
+        self.confirmed = self.confirmed.max(sent);
+        self.renewing = false;
+    }
+    /// Steps down.
+    pub fn lost(&mut self, now: Micros, pause: Micros) {
+        self.role = Role::Follower;
+        self.renewing = false;
+        self.not_before = now + pause;
+    }
+    /// The term led, whether or not the lease is fresh.
+    pub fn term(&self) -> Option<u64> {
+        match self.role {
+            Role::Leader { term, .. } => Some(term),
+            _ => None,
+        }
+    }
+    /// Whether this node may act as leader now: its last confirmed renewal,
+    /// counted from sending, is within the lease, less 1% for the clocks'
+    /// drift and 50 ms for what is under way.
+    pub fn may_lead(&self, now: Micros) -> bool {
+        let usable = self.life.scale(99, 100) - Micros::millis(50);
+        matches!(self.role, Role::Leader { .. }) && now < self.confirmed + usable
+    }
+    /// Whether a renewal is due.
+    pub fn renewal_due(&self, now: Micros) -> bool {
+        !self.renewing && now.since(self.last_sent) >= self.life.scale(1, 4)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_lease_counts_from_the_sending_of_its_renewal() {
+        let ms = Micros::millis;
+        let mut e = Election::new(ms(3000));
+        assert!(!e.may_lead(ms(0)));
+        e.won(4, 7, 9, ms(100));
+        // (time, may lead)
+        for (t, want) in [(100, true), (3019, true), (3020, false), (9000, false)] {
+            assert_eq!(e.may_lead(ms(t)), want, "{t}");
+        }
+        // A renewal sent at 2000 and answered late extends from 2000, not from its answer.
+        e.renewed(ms(2000));
+        for (t, want) in [(4919, true), (4920, false)] {
+            assert_eq!(e.may_lead(ms(t)), want, "{t}");
+        }
+        // An older confirmation that comes late takes nothing back.
+        e.renewed(ms(500));
+        assert!(e.may_lead(ms(4900)));
+        e.lost(ms(4900), ms(10));
+        assert_eq!((e.term(), e.may_lead(ms(4901))), (None, false));
+    }
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,238 @@
+//! What to rent: the cheapest machines that fit what waits.
+use super::ids::Resources;
+use super::jobs::{JobSpec, Kind};
+use super::placement::{self, Candidate};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// A machine that can be had.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// Size.
+    pub size: Resources,
+    /// Price an hour.
+    pub price: f64,
+    /// Usual boot time in seconds.
+    pub boot_s: f64,
+}
+
+/// Room on a machine that is there or booting.
+#[derive(Debug, Clone)]
+pub struct Room {
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// Size.
+    pub size: Resources,
+    /// Free room.
+    pub free: Resources,
+}
+
+/// Waiting tasks of a job.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// Job.
+    pub spec: Rc<JobSpec>,
+    /// Tasks that wait.
+    pub waiting: u32,
+    /// The job's tasks on machines, by zone.
+    pub zones: HashMap<String, u32>,
+}
+
+/// Machines to rent.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Want {
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+}
+
+/// What the plan goes by.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    /// Array work that waits should be through in this time.
+    pub drain_s: f64,
+    /// Array tasks on machines now.
+    pub running_arrays: f64,
+    /// Most machines to add.
+    pub max_new: usize,
+}
+
+/// Decides what to rent; `demands` come in the order in which they are served.
+pub fn plan(
+    mut rooms: Vec<Room>,
+    demands: &[Demand],
+    offers: &[Offer],
+    policy: &Policy,
+) -> BTreeMap<Want, u32> {
+    let mut wants = BTreeMap::new();
+    let mut added = 0;
+    // Tasks that find room on what is there or booting.
+    let mut unmet: Vec<(Rc<JobSpec>, u32, HashMap<String, u32>)> = Vec::new();
+    let mut placed_arrays = 0.0;
+    for d in demands {
+        let mut zones = d.zones.clone();
+        let mut left = d.waiting;
+        while left > 0 && place(&mut rooms, &d.spec, &mut zones) {
+            left -= 1;
+            placed_arrays += (d.spec.kind == Kind::Array) as u32 as f64;
+        }
+        if left > 0 {
+            unmet.push((d.spec.clone(), left, zones));
+        }
+    }
+    // Arrays share what is there: rent only what the backlog needs to be
+    // through in time.
+    let work: f64 = unmet
+        .iter()
+        .filter(|(s, ..)| s.kind == Kind::Array)
+        .map(|(s, n, _)| *n as f64 * s.estimate_s.max(1.0))
+        .sum();
+    let mut slots = (work / policy.drain_s).ceil() - policy.running_arrays - placed_arrays;
+    for (spec, mut left, mut zones) in unmet {
+        if spec.kind == Kind::Array {
+            if slots <= 0.0 {
+                continue;
+            }
+            left = left.min(slots.ceil() as u32);
+            slots -= left as f64;
+        }
+        while left > 0 && added < policy.max_new {
+            if place(&mut rooms, &spec, &mut zones) {
+                left -= 1;
+                continue;
+            }
+            let best = offers
+                .iter()
+                .filter(|o| spec.allows(&o.build, &o.zone, o.spot, &o.size))
+                .filter(|o| zone_ok(&spec, &o.zone, &zones))
+                .map(|o| {
+                    let k = o.size.count(&spec.need, 10_000).max(1);
+                    let used = k.min((left as u64).max(k.div_ceil(4)));
+                    (o.price * (1.0 + o.boot_s / 120.0) / used as f64, o)
+                })
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((_, o)) = best else { break };
+            rooms.push(Room {
+                build: o.build.clone(),
+                zone: o.zone.clone(),
+                spot: o.spot,
+                size: o.size,
+                free: o.size,
+            });
+            *wants.entry(Want { build: o.build.clone(), zone: o.zone.clone(), spot: o.spot }).or_default() +=
+                1;
+            added += 1;
+        }
+    }
+    wants
+}
+
+/// Whether another task of the job may go to `zone`.
+pub fn zone_ok(spec: &JobSpec, zone: &str, zones: &HashMap<String, u32>) -> bool {
+    let here = zones.get(zone).copied().unwrap_or(0);
+    let elsewhere = zones.iter().any(|(z, n)| z != zone && *n > 0);
+    !(spec.one_zone && elsewhere) && here < spec.zone_cap()
+}
+
+fn place(rooms: &mut [Room], spec: &JobSpec, zones: &mut HashMap<String, u32>) -> bool {
+    let best = rooms
+        .iter()
+        .enumerate()
+        .filter(|(_, r)| zone_ok(spec, &r.zone, zones))
+        .filter_map(|(i, r)| {
+            let c = Candidate {
+                build: &r.build,
+                zone: &r.zone,
+                spot: r.spot,
+                size: &r.size,
+                free: r.free,
+                image: true,
+            };
+            Some((placement::score(spec, &c, None)?, i))
+        })
+        .min();
+    let Some((_, i)) = best else { return false };
+    rooms[i].free = rooms[i].free.minus(spec.need);
+    *zones.entry(rooms[i].zone.clone()).or_default() += 1;
+    true
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn offer(build: &str, zone: &str, spot: bool, cpus: f64, price: f64) -> Offer {
+        let size = Resources::have(cpus, 0.0, cpus * 4.0);
+        Offer { build: build.into(), zone: zone.into(), spot, size, price, boot_s: 30.0 }
+    }
+
+    fn demand(kind: &str, n: u32, cpus: f64, spot: bool, spread: bool) -> Demand {
+        let v = serde_json::json!({"ref":"j-000001","lot":"l","crew":"t","manner":kind,
+            "rank":"standard","pieces":n,"cpus":cpus,"gpus":0,"memory_gb":1,"bundle":"i",
+            "image_gb":1,"same_place":false,"apart":spread,"loaners":spot,"guess_s":30,
+            "mark_s":0,"stow_s":0});
+        let spec = crate::wire::users::parse_submission(v.to_string().as_bytes()).unwrap();
+        Demand { spec: Rc::new(spec), waiting: n, zones: HashMap::new() }
+    }
+
+    #[test]
+    fn rents_the_cheapest_that_fits() {
+        let offers = [
+            offer("small", "a", false, 4.0, 0.16),
+            offer("small", "a", true, 4.0, 0.04),
+            offer("big", "a", true, 64.0, 0.6),
+            offer("small", "b", false, 4.0, 0.17),
+        ];
+        let want = |b: &str, z: &str, s, n| (Want { build: b.into(), zone: z.into(), spot: s }, n);
+        // (demands, array tasks running, rented)
+        let cases = [
+            (vec![], 0.0, vec![]),
+            (vec![demand("array", 2, 4.0, true, false)], 0.0, vec![want("small", "a", true, 2)]),
+            (vec![demand("array", 64, 4.0, true, false)], 0.0, vec![want("big", "a", true, 4)]),
+            // Running tasks end soon: a small backlog waits for them.
+            (vec![demand("array", 10, 4.0, true, false)], 20.0, vec![]),
+            (vec![demand("standing", 1, 2.0, false, false)], 99.0, vec![want("small", "a", false, 1)]),
+            // Spread: one of two per zone.
+            (
+                vec![demand("standing", 2, 2.0, false, true)],
+                0.0,
+                vec![want("small", "a", false, 1), want("small", "b", false, 1)],
+            ),
+            // Two jobs share a machine.
+            (
+                vec![demand("standing", 1, 2.0, false, false), demand("standing", 1, 2.0, false, false)],
+                0.0,
+                vec![want("small", "a", false, 1)],
+            ),
+            (vec![demand("array", 1, 99.0, true, false)], 0.0, vec![]),
+        ];
+        for (i, (demands, running, wanted)) in cases.into_iter().enumerate() {
+            let policy = Policy { drain_s: 30.0, running_arrays: running, max_new: 50 };
+            let got = plan(Vec::new(), &demands, &offers, &policy);
+            assert_eq!(got.into_iter().collect::<Vec<_>>(), wanted, "case {i}");
+        }
+    }
+
+    #[test]
+    fn booting_room_counts() {
+        let o = [offer("small", "a", true, 4.0, 0.04)];
+        let room =
+            Room { build: "small".into(), zone: "a".into(), spot: true, size: o[0].size, free: o[0].size };
+        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50 };
+        let d = [demand("array", 1, 4.0, true, false)];
+        assert!(plan(vec![room], &d, &o, &policy).is_empty());
+    }
+}
--- /dev/null
+++ b/src/core/jobs.rs
@@ -0,0 +1,466 @@
+//! Jobs, and the mirror of the state service that every controller keeps.
+use super::ids::{JobId, MachineId, Resources};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// What a job's tasks do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Each task runs to completion.
+    #[serde(rename = "array")]
+    Array,
+    /// Replicas run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priority, lowest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Rank {
+    /// Lowest.
+    #[serde(rename = "idle")]
+    Low,
+    /// Ordinary work.
+    #[serde(rename = "standard")]
+    Normal,
+    /// Above ordinary work.
+    #[serde(rename = "high")]
+    High,
+    /// Live services.
+    #[serde(rename = "prod")]
+    Production,
+}
+
+/// All ranks, highest first.
+pub const RANKS: [Rank; 4] = [Rank::Production, Rank::High, Rank::Normal, Rank::Low];
+
+/// A checked job description.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobSpec {
+    /// Id.
+    pub id: JobId,
+    /// Class of jobs.
+    pub class: String,
+    /// Team.
+    pub team: String,
+    /// Array or service.
+    pub kind: Kind,
+    /// Priority.
+    pub rank: Rank,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What one task takes.
+    pub need: Resources,
+    /// Allowed machine types.
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    pub spread: bool,
+    /// Spot machines are allowed.
+    pub spot: bool,
+    /// Image.
+    pub image: String,
+    /// Its size.
+    pub image_gb: f64,
+    /// The owner's estimate of a task's run time.
+    pub estimate_s: f64,
+    /// Interval of checkpoints, 0 for none.
+    pub checkpoint_s: f64,
+    /// Time to save.
+    pub save_s: f64,
+    /// Deadline, from the submission.
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// Whether a task may be on such a machine, by type, zone, kind and size.
+    pub fn allows(&self, build: &str, zone: &str, spot: bool, size: &Resources) -> bool {
+        (!spot || self.spot)
+            && self.types.as_ref().is_none_or(|t| t.iter().any(|x| x == build))
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && size.fits(&self.need)
+    }
+    /// Most tasks that may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
+    }
+    fn to_value(&self) -> Value {
+        json!([
+            self.class,
+            self.team,
+            self.kind,
+            self.rank,
+            self.tasks,
+            [self.need.cpu, self.need.gpu, self.need.mem],
+            self.types,
+            self.zone,
+            self.one_zone,
+            self.spread,
+            self.spot,
+            self.image,
+            self.image_gb,
+            self.estimate_s,
+            self.checkpoint_s,
+            self.save_s,
+            self.deadline_s
+        ])
+    }
+    fn from_value(id: JobId, v: &Value) -> Option<Self> {
+        type Row = (
+            (String, String, Kind, Rank, u32, [u64; 3], Option<Vec<String>>, Option<String>),
+            (bool, bool, bool, String, f64, f64, f64, f64, Option<f64>),
+        );
+        let a = v.as_array()?;
+        if a.len() < 17 {
+            return None;
+        }
+        let split = json!([a[..8], a[8..17]]);
+        let ((class, team, kind, rank, tasks, n, types, zone), rest): Row =
+            serde_json::from_value(split).ok()?;
+        let (one_zone, spread, spot, image, image_gb, estimate_s, checkpoint_s, save_s, deadline_s) = rest;
+        let need = Resources { cpu: n[0], gpu: n[1], mem: n[2] };
+        Some(JobSpec {
+            id,
+            class,
+            team,
+            kind,
+            rank,
+            tasks,
+            need,
+            types,
+            zone,
+            one_zone,
+            spread,
+            spot,
+            image,
+            image_gb,
+            estimate_s,
+            checkpoint_s,
+            save_s,
+            deadline_s,
+        })
+    }
+}
+
+/// Where a job stands according to its records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Accepted, neither done nor cancelled.
+    Active,
+    /// All tasks are done.
+    Done,
+    /// Cancelled.
+    Aborted,
+}
+
+/// A set of task numbers.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct TaskSet {
+    words: Vec<u64>,
+    count: u32,
+}
+impl TaskSet {
+    /// Adds; true if it was new.
+    pub fn insert(&mut self, i: u32) -> bool {
+        let (w, b) = (i as usize / 64, i % 64);
+        if self.words.len() <= w {
+            self.words.resize(w + 1, 0);
+        }
+        let new = self.words[w] & (1 << b) == 0;
+        self.words[w] |= 1 << b;
+        self.count += new as u32;
+        new
+    }
+    /// Whether it holds `i`.
+    pub fn contains(&self, i: u32) -> bool {
+        self.words.get(i as usize / 64).is_some_and(|w| w & (1 << (i % 64)) != 0)
+    }
+    /// How many it holds.
+    pub fn len(&self) -> u32 {
+        self.count
+    }
+    /// Whether it is empty.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+    /// Adds all of `other`.
+    pub fn union(&mut self, other: &TaskSet) {
+        for (i, w) in other.words.iter().enumerate() {
+            let mut w = *w;
+            while w != 0 {
+                self.insert(i as u32 * 64 + w.trailing_zeros());
+                w &= w - 1;
+            }
+        }
+    }
+    /// The part of a chunk as text: words in hexadecimal.
+    pub fn chunk_text(&self, chunk: u32) -> String {
+        let from = (chunk * CHUNK / 64) as usize;
+        let to = (from + CHUNK as usize / 64).min(self.words.len());
+        let mut words = self.words.get(from.min(to)..to).unwrap_or(&[]);
+        while let [rest @ .., 0] = words {
+            words = rest;
+        }
+        words.iter().map(|w| format!("{w:x}")).collect::<Vec<_>>().join(",")
+    }
+    /// Adds the tasks of a chunk's text.
+    pub fn add_chunk(&mut self, chunk: u32, text: &str) {
+        for (i, part) in text.split(',').enumerate().take(CHUNK as usize / 64) {
+            let mut w = u64::from_str_radix(part, 16).unwrap_or(0);
+            while w != 0 {
+                self.insert(chunk * CHUNK + i as u32 * 64 + w.trailing_zeros());
+                w &= w - 1;
+            }
+        }
+    }
+}
+
+/// Tasks in one progress record: at most 128 words of 17 bytes, 2.2 KB.
+pub const CHUNK: u32 = 8192;
+
+/// A job as recorded.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Description; dropped some time after the job is over.
+    pub spec: Option<Rc<JobSpec>>,
+    /// Revision of the job's record.
+    pub stamp: u64,
+    /// Time of day of the submission, in milliseconds.
+    pub submitted_ms: u64,
+    /// State.
+    pub phase: Phase,
+    /// Tasks recorded as done.
+    pub done: TaskSet,
+    /// Versions of the progress records.
+    pub chunks: BTreeMap<u32, u64>,
+    /// Number of tasks.
+    pub tasks: u32,
+}
+
+/// A machine on which tasks may be started.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Type.
+    #[serde(rename = "t")]
+    pub build: String,
+    /// Zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Spot.
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// Worker address.
+    #[serde(rename = "a")]
+    pub addr: String,
+}
+
+/// Who leads.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Controller name.
+    pub node: String,
+    /// Term.
+    pub term: u64,
+    /// The lease it hangs on.
+    pub lease: u64,
+}
+
+/// What an applied change was about.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// A job's record, progress or end.
+    Job(JobId),
+    /// A machine.
+    Machine(MachineId),
+    /// The leader's key.
+    Leader,
+    /// Anything else.
+    Other,
+}
+
+/// Keys in the state service.
+pub mod keys {
+    use super::*;
+    /// All keys start with this.
+    pub const ROOT: &str = "g/";
+    /// The leader.
+    pub const LEADER: &str = "g/leader";
+    /// The last term.
+    pub const TERM: &str = "g/term";
+    /// The last rental request's name.
+    pub const HIRE: &str = "g/hire";
+    /// A job.
+    pub fn job(id: JobId) -> String {
+        format!("g/j/{id}")
+    }
+    /// A job's end.
+    pub fn end(id: JobId) -> String {
+        format!("g/x/{id}")
+    }
+    /// A chunk of a job's progress.
+    pub fn progress(id: JobId, chunk: u32) -> String {
+        format!("g/p/{id}/{chunk}")
+    }
+    /// A machine.
+    pub fn machine(id: &MachineId) -> String {
+        format!("g/m/{id}")
+    }
+}
+
+/// A job's record.
+pub fn job_value(spec: &JobSpec, submitted_ms: u64) -> Value {
+    json!({"d": spec.to_value(), "at": submitted_ms})
+}
+
+/// The mirror.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Jobs.
+    pub jobs: HashMap<JobId, Job>,
+    /// Machines.
+    pub machines: BTreeMap<MachineId, MachineRecord>,
+    /// The leader's key and its version.
+    pub leader: Option<(LeaderRecord, u64)>,
+    /// The term and its version.
+    pub term: (u64, u64),
+    /// Everything up to this revision is applied.
+    pub applied: u64,
+    /// Jobs that are over and whose description is still here.
+    over: VecDeque<JobId>,
+}
+
+/// Descriptions kept of jobs that are over.
+const SPECS_KEPT: usize = 2000;
+
+impl Ledger {
+    /// Applies one key; `value` is `None` for a removal.
+    pub fn apply(&mut self, path: &str, value: Option<&Value>, stamp: u64) -> Change {
+        if path == keys::LEADER {
+            self.leader = value.and_then(|v| LeaderRecord::deserialize(v).ok()).map(|r| (r, stamp));
+            return Change::Leader;
+        }
+        if path == keys::TERM {
+            self.term = (value.and_then(Value::as_u64).unwrap_or(0), stamp);
+            return Change::Other;
+        }
+        let Some(rest) = path.strip_prefix(keys::ROOT) else { return Change::Other };
+        let Some((space, name)) = rest.split_once('/') else { return Change::Other };
+        match space {
+            "m" => {
+                let id = MachineId(name.to_owned());
+                match value.and_then(|v| MachineRecord::deserialize(v).ok()) {
+                    Some(r) => self.machines.insert(id.clone(), r),
+                    None => self.machines.remove(&id),
+                };
+                Change::Machine(id)
+            }
+            "j" => {
+                let (Some(id), Some(v)) = (JobId::parse(name), value) else { return Change::Other };
+                let spec = JobSpec::from_value(id, &v["d"]).map(Rc::new);
+                let job = self.jobs.entry(id).or_insert_with(Job::empty);
+                job.stamp = stamp;
+                job.submitted_ms = v["at"].as_u64().unwrap_or(0);
+                job.tasks = spec.as_ref().map_or(0, |s| s.tasks);
+                job.spec = spec;
+                Change::Job(id)
+            }
+            "x" => {
+                let (Some(id), Some(v)) = (JobId::parse(name), value) else { return Change::Other };
+                let job = self.jobs.entry(id).or_insert_with(Job::empty);
+                let was = job.phase;
+                job.phase = if v["end"] == "done" { Phase::Done } else { Phase::Aborted };
+                job.done = TaskSet::default();
+                job.chunks.clear();
+                if was == Phase::Active {
+                    self.over.push_back(id);
+                }
+                // Tasks of a job that is over may still be on machines, so its
+                // needs are kept for a while; only the end is kept for ever.
+                if self.over.len() > SPECS_KEPT
+                    && let Some(old) = self.over.pop_front()
+                    && let Some(job) = self.jobs.get_mut(&old)
+                {
+                    job.spec = None;
+                }
+                Change::Job(id)
+            }
+            "p" => {
+                let Some((id, chunk)) = name.split_once('/') else { return Change::Other };
+                let (Some(id), Ok(chunk)) = (JobId::parse(id), chunk.parse::<u32>()) else {
+                    return Change::Other;
+                };
+                if let (Some(v), Some(job)) = (value, self.jobs.get_mut(&id))
+                    && job.phase == Phase::Active
+                    && chunk < u32::MAX / CHUNK
+                {
+                    job.done.add_chunk(chunk, v.as_str().unwrap_or(""));
+                    job.chunks.insert(chunk, stamp);
+                }
+                Change::Job(id)
+            }
+            _ => Change::Other,
+        }
+    }
+}
+
+impl Job {
+    fn empty() -> Self {
+        Job {
+            spec: None,
+            stamp: 0,
+            submitted_ms: 0,
+            phase: Phase::Active,
+            done: TaskSet::default(),
+            chunks: BTreeMap::new(),
+            tasks: 0,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn progress_chunks_round_trip_and_stay_small() {
+        for set in [vec![], vec![0], vec![63, 64, 8191], vec![8192, 99_999], (0..100_000).collect()] {
+            let mut s = TaskSet::default();
+            set.iter().for_each(|i| assert!(s.insert(*i)));
+            let mut back = TaskSet::default();
+            for c in 0..13 {
+                let text = s.chunk_text(c);
+                assert!(text.len() <= 2300, "{}", text.len());
+                back.add_chunk(c, &text);
+            }
+            assert_eq!(back.len(), set.len() as u32);
+            assert!(set.iter().all(|i| back.contains(*i)));
+        }
+    }
+
+    #[test]
+    fn an_end_is_kept_whatever_comes_after() {
+        let mut l = Ledger::default();
+        l.apply("g/x/j-000001", Some(&json!({"end":"aborted"})), 5);
+        l.apply("g/p/j-000001/0", Some(&json!("1")), 6);
+        let j = &l.jobs[&JobId(1)];
+        assert_eq!((j.phase, j.done.len()), (Phase::Aborted, 0));
+    }
+
+    #[test]
+    fn a_job_record_reads_back() {
+        let body = br#"{"ref":"j-000412","lot":"t","crew":"v","manner":"standing","rank":"prod",
+            "pieces":3,"cpus":1.5,"gpus":0,"memory_gb":2.1,"bundle":"i","image_gb":0.5,
+            "builds":["g8"],"yard":"a","same_place":false,"apart":true,"loaners":false,
+            "guess_s":0,"mark_s":0,"stow_s":0,"due_s":null}"#;
+        let spec = crate::wire::users::parse_submission(body).unwrap();
+        let mut l = Ledger::default();
+        l.apply("g/j/j-000412", Some(&job_value(&spec, 77)), 9);
+        let j = &l.jobs[&JobId(412)];
+        assert_eq!((j.spec.as_deref(), j.submitted_ms, j.tasks), (Some(&spec), 77, 3));
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,258 @@
+//! What controllers say to each other: borsh messages, framed by a length and
+//! a version, one way on a connection that the sender opens.
+use crate::core::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, TaskId};
+use borsh::{BorshDeserialize, BorshSerialize};
+use thiserror::Error;
+
+/// Version of the messages; a frame of another version is refused.
+pub const VERSION: u8 = 1;
+/// Longest frame taken.
+pub const MAX_FRAME: usize = 4 << 20;
+
+/// State of a task on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum TaskState {
+    /// A start was sent and is neither seen nor refuted.
+    Starting,
+    /// Waits for its image.
+    Fetching,
+    /// Runs.
+    Running,
+    /// Saves.
+    Saving,
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Failed.
+    Failed,
+    /// Its start was refused.
+    Refused,
+}
+impl TaskState {
+    /// Whether it ended.
+    pub fn exited(self) -> bool {
+        matches!(self, Self::Done | Self::Stopped | Self::Failed | Self::Refused)
+    }
+}
+
+/// A task on a machine.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Held {
+    /// Task.
+    pub task: TaskId,
+    /// Attempt.
+    pub attempt: Attempt,
+    /// State.
+    pub state: TaskState,
+}
+
+/// A machine as its controller knows it.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct MachineState {
+    /// Machine.
+    pub id: MachineId,
+    /// Token under which the sender holds it.
+    pub baton: Baton,
+    /// Highest token its worker was seen to know.
+    pub seen_baton: Baton,
+    /// Session.
+    pub shift: u64,
+    /// How long ago it was heard; `None` if never by this controller.
+    pub heard_ago: Option<Micros>,
+    /// Spot notice.
+    pub warning: Option<Micros>,
+    /// The controller wants a higher token: a start of a task that must not
+    /// run may still arrive.
+    pub want_baton: bool,
+    /// Tasks, starts that are not settled among them.
+    pub tasks: Vec<Held>,
+}
+
+/// What became of a hand-out.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Outcome {
+    /// The hand-out.
+    pub attempt: Attempt,
+    /// Where it was started, or `None` if it never was and never will be.
+    pub machine: Option<MachineId>,
+}
+
+/// A machine granted to a controller.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct GrantedMachine {
+    /// Machine.
+    pub id: MachineId,
+    /// Token.
+    pub baton: Baton,
+    /// Worker address.
+    pub addr: String,
+    /// Draining: start nothing on it.
+    pub draining: bool,
+}
+
+/// A task handed out.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct HandOut {
+    /// Task.
+    pub task: TaskId,
+    /// Attempt, above the token of every machine that it may go to.
+    pub attempt: Attempt,
+    /// The only zone it may go to.
+    pub zone: Option<String>,
+    /// The machine that the leader reserved room on.
+    pub hint: MachineId,
+}
+
+/// A stop that the leader asks for.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct StopRequest {
+    /// Task.
+    pub task: TaskId,
+    /// Attempt.
+    pub attempt: Attempt,
+    /// Machine.
+    pub machine: MachineId,
+    /// Time to save.
+    pub grace: Micros,
+}
+
+/// A message.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Message {
+    /// To everybody, about twice a second.
+    Ping {
+        /// The sender reaches the state service.
+        state_ok: bool,
+    },
+    /// A controller's whole view, to the leader.
+    Sync {
+        /// The leader's term that it is meant for.
+        term: u64,
+        /// Counts up.
+        seq: u64,
+        /// All machines that the sender holds.
+        machines: Vec<MachineState>,
+        /// Hand-outs that the leader has not acknowledged.
+        outcomes: Vec<Outcome>,
+    },
+    /// The leader's orders to one controller.
+    Update {
+        /// Term.
+        term: u64,
+        /// Counts up.
+        seq: u64,
+        /// The receiver's incarnation that it is meant for.
+        incarnation: u64,
+        /// The last `Sync` taken.
+        ack: u64,
+        /// Block lease, counted from the sending of that `Sync`.
+        lease: Micros,
+        /// The receiver's block, whole.
+        block: Vec<GrantedMachine>,
+        /// Hand-outs whose outcome the leader does not know.
+        handouts: Vec<HandOut>,
+        /// Stops wanted.
+        stops: Vec<StopRequest>,
+        /// Who holds which machine.
+        directory: Vec<(MachineId, NodeId)>,
+        /// Running tasks of jobs, for display.
+        running: Vec<(JobId, u32)>,
+    },
+    /// To the leader: a machine that the sender does not hold reported to it
+    /// (or answered a probe).
+    Seen {
+        /// Machine.
+        id: MachineId,
+        /// Type.
+        build: String,
+        /// Zone.
+        zone: String,
+        /// Spot.
+        spot: bool,
+        /// Worker address.
+        addr: String,
+    },
+    /// From the leader: ask this machine for its status.
+    Probe {
+        /// Machine.
+        id: MachineId,
+        /// Worker address.
+        addr: String,
+    },
+}
+
+/// A frame's content.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Envelope {
+    /// Sender.
+    pub from: NodeId,
+    /// Number drawn when the sender's process started.
+    pub incarnation: u64,
+    /// Message.
+    pub message: Message,
+}
+
+/// Why a frame was refused.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// Too long.
+    #[error("frame of {0} bytes is too long")]
+    TooLong(usize),
+    /// Another version.
+    #[error("version {0} is not {VERSION}")]
+    Version(u8),
+    /// Not a message.
+    #[error("not a message: {0}")]
+    Malformed(#[from] std::io::Error),
+}
+
+/// Length of a frame's head: four bytes of length, one of version.
+pub const HEAD: usize = 5;
+
+/// Builds a frame.
+pub fn encode(e: &Envelope) -> Result<Vec<u8>, FrameError> {
+    let body = borsh::to_vec(e)?;
+    if body.len() > MAX_FRAME {
+        return Err(FrameError::TooLong(body.len()));
+    }
+    let mut out = Vec::with_capacity(body.len() + HEAD);
+    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    out.push(VERSION);
+    out.extend_from_slice(&body);
+    Ok(out)
+}
+
+/// Reads a frame's head; the length of its body.
+pub fn decode_head(head: [u8; HEAD]) -> Result<usize, FrameError> {
+    let [a, b, c, d, version] = head;
+    if version != VERSION {
+        return Err(FrameError::Version(version));
+    }
+    let len = u32::from_le_bytes([a, b, c, d]) as usize;
+    if len > MAX_FRAME { Err(FrameError::TooLong(len)) } else { Ok(len) }
+}
+
+/// Reads a frame's body.
+pub fn decode_body(body: &[u8]) -> Result<Envelope, FrameError> {
+    Ok(borsh::from_slice(body)?)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_round_trip_and_bad_ones_are_refused() {
+        let e = Envelope { from: NodeId(1), incarnation: 9, message: Message::Ping { state_ok: true } };
+        let f = encode(&e).unwrap();
+        let head: [u8; HEAD] = f[..HEAD].try_into().unwrap();
+        assert_eq!(decode_head(head).unwrap(), f.len() - HEAD);
+        assert_eq!(decode_body(&f[HEAD..]).unwrap(), e);
+        assert!(decode_head([0, 0, 0, 0, VERSION + 1]).is_err());
+        assert!(decode_head([0xff, 0xff, 0xff, 0xff, VERSION]).is_err());
+        for cut in 0..f.len() - HEAD {
+            assert!(decode_body(&f[HEAD..HEAD + cut]).is_err());
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,12 @@
+//! Settings: the platform's TOML file and the operators' own file.
+mod operator;
+mod platform;
+pub use operator::{LogFormat, Operator};
+pub use platform::{Platform, Team};
+
+use thiserror::Error;
+
+/// What is wrong with the settings, field by field.
+#[derive(Debug, Error)]
+#[error("{}", .0.join("\n"))]
+pub struct SettingsError(pub Vec<String>);
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,159 @@
+//! The operators' own file, in protobuf text format.
+use super::SettingsError;
+use crate::core::ids::Micros;
+use prost_reflect::{DescriptorPool, DynamicMessage, Value};
+use std::collections::HashMap;
+
+/// How log lines look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Text.
+    Plain,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Settings with their defaults; `docs/operator.example.txtpb` documents them.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    /// Weights in the fair queue; 1 for a team that is not named.
+    pub team_weights: HashMap<String, f64>,
+    /// Block lease.
+    pub block_lease: Micros,
+    /// Most machines in a block.
+    pub block_size: usize,
+    /// Cost of a task.
+    pub task_cost: f64,
+    /// Leadership lease.
+    pub leader_lease: Micros,
+    /// Idle time before a machine is returned.
+    pub idle_return: Micros,
+    /// Silence after which a machine is deleted.
+    pub silent_delete: Micros,
+    /// Most machines.
+    pub max_machines: usize,
+    /// Spare room for replicas, in CPUs.
+    pub spare_cpus: f64,
+    /// Log format.
+    pub log_format: LogFormat,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            team_weights: HashMap::new(),
+            block_lease: Micros::secs(20),
+            block_size: 200,
+            task_cost: 1.0,
+            leader_lease: Micros::millis(3000),
+            idle_return: Micros::secs(20),
+            silent_delete: Micros::millis(7500),
+            max_machines: 500,
+            spare_cpus: 4.0,
+            log_format: LogFormat::Plain,
+        }
+    }
+}
+
+impl Operator {
+    /// Reads and checks the file; an unknown field is an error with its place.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let one = |e: String| SettingsError(vec![e]);
+        let bytes = &include_bytes!(concat!(env!("OUT_DIR"), "/operator.bin"))[..];
+        let pool = DescriptorPool::decode(bytes).map_err(|e| one(e.to_string()))?;
+        let desc = pool
+            .get_message_by_name("gorseshore.Operator")
+            .ok_or_else(|| one("schema lacks gorseshore.Operator".into()))?;
+        let msg = DynamicMessage::parse_text_format(desc, text).map_err(|e| one(place(text, &e)))?;
+        let mut o = Operator::default();
+        let mut faults = Vec::new();
+        let mut number = |field: &str, lo: f64, hi: f64| -> Option<f64> {
+            if !msg.has_field_by_name(field) {
+                return None;
+            }
+            let v = match msg.get_field_by_name(field)?.as_ref() {
+                Value::U64(v) => *v as f64,
+                Value::U32(v) => *v as f64,
+                Value::F64(v) => *v,
+                _ => return None,
+            };
+            if (lo..=hi).contains(&v) {
+                return Some(v);
+            }
+            faults.push(format!("{field}: {v} must be from {lo} to {hi}"));
+            None
+        };
+        let ms = |v: f64| Micros::millis(v as u64);
+        if let Some(v) = number("block_lease_ms", 2_000.0, 600_000.0) {
+            o.block_lease = ms(v);
+        }
+        if let Some(v) = number("block_size", 1.0, 10_000.0) {
+            o.block_size = v as usize;
+        }
+        if let Some(v) = number("task_cost", 0.001, 1000.0) {
+            o.task_cost = v;
+        }
+        if let Some(v) = number("leader_lease_ms", 1_000.0, 60_000.0) {
+            o.leader_lease = ms(v);
+        }
+        if let Some(v) = number("idle_return_ms", 0.0, 3_600_000.0) {
+            o.idle_return = ms(v);
+        }
+        if let Some(v) = number("silent_delete_ms", 3_000.0, 3_600_000.0) {
+            o.silent_delete = ms(v);
+        }
+        if let Some(v) = number("max_machines", 1.0, 100_000.0) {
+            o.max_machines = v as usize;
+        }
+        if let Some(v) = number("spare_cpus", 0.0, 100_000.0) {
+            o.spare_cpus = v;
+        }
+        if let Some(f) = msg.get_field_by_name("log_format").filter(|_| msg.has_field_by_name("log_format")) {
+            match f.as_str() {
+                Some("plain") => o.log_format = LogFormat::Plain,
+                Some("json") => o.log_format = LogFormat::Json,
+                _ => faults.push("log_format: must be \"plain\" or \"json\"".into()),
+            }
+        }
+        if let Some(list) = msg.get_field_by_name("team_weight")
+            && let Some(list) = list.as_list()
+        {
+            for (i, item) in list.iter().enumerate() {
+                let Some(m) = item.as_message() else { continue };
+                let team = m.get_field_by_name("team").and_then(|v| v.as_str().map(str::to_owned));
+                let weight = m.get_field_by_name("weight").and_then(|v| v.as_f64()).unwrap_or(0.0);
+                match team {
+                    Some(t) if !t.is_empty() && (0.001..=1000.0).contains(&weight) => {
+                        o.team_weights.insert(t, weight);
+                    }
+                    _ => {
+                        faults.push(format!("team_weight[{i}]: needs a team and a weight from 0.001 to 1000"))
+                    }
+                }
+            }
+        }
+        if faults.is_empty() { Ok(o) } else { Err(SettingsError(faults)) }
+    }
+}
+
+/// The parser's errors with line and column.
+fn place(text: &str, e: &prost_reflect::text_format::ParseError) -> String {
+    let span = format!("{e:?}");
+    let offset = span
+        .find("offset: ")
+        .or_else(|| span.find("span: "))
+        .and_then(|i| {
+            let digits: String = span[i..]
+                .chars()
+                .skip_while(|c| !c.is_ascii_digit())
+                .take_while(|c| c.is_ascii_digit())
+                .collect();
+            digits.parse::<usize>().ok()
+        })
+        .unwrap_or(0)
+        .min(text.len());
+    let before = text.get(..offset).unwrap_or("");
+    let line = before.matches('\n').count() + 1;
+    let column = before.len() - before.rfind('\n').map_or(0, |i| i + 1) + 1;
+    format!("line {line}, column {column}: {e}")
+}
--- /dev/null
+++ b/src/settings/platform.rs
@@ -0,0 +1,192 @@
+//! The file that the platform hands over.
+use super::SettingsError;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A team.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Limit, 0 for none.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Limit, 0 for none.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    /// Name.
+    pub host_name: String,
+    /// Zone.
+    pub domain: String,
+    /// Where it listens for controllers.
+    pub peer_addr: String,
+}
+
+/// Outside services.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    /// Cloud.
+    pub cloud: String,
+    /// State service.
+    pub state: String,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Changes a second.
+    pub write_rps: f64,
+    /// Largest value.
+    pub value_kb: f64,
+    /// Changes a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Calls a second.
+    pub rps: f64,
+    /// How old a list may be.
+    pub list_lag_s: f64,
+}
+
+/// Workers' timing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    /// Time between reports.
+    pub report_s: f64,
+    /// Lease.
+    pub lease_s: f64,
+    /// Time for a cancellation.
+    pub cancel_s: f64,
+}
+
+/// Limits of the controller's own machine.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    /// Sockets.
+    #[serde(default = "default_sockets")]
+    pub sockets: usize,
+}
+fn default_sockets() -> usize {
+    1024
+}
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: default_sockets() }
+    }
+}
+
+/// The deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    /// Zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// Workers.
+    pub workers: Workers,
+    /// State service.
+    pub state: StateLimits,
+    /// Cloud.
+    pub cloud: CloudLimits,
+    /// Own machine.
+    #[serde(default)]
+    pub machine_limits: Limits,
+}
+
+/// The whole file. Unknown fields are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    /// Own name.
+    pub host_name: String,
+    /// Own zone.
+    pub domain: String,
+    /// For users and workers.
+    pub public_addr: String,
+    /// For controllers.
+    pub cluster_listen: String,
+    /// Other controllers.
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    /// Outside services.
+    pub endpoints: Endpoints,
+    /// The deployment.
+    pub deployment: Deployment,
+}
+
+impl Platform {
+    /// Reads and checks; every fault is reported with its field.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let p: Platform = toml::from_str(text).map_err(|e| SettingsError(vec![e.to_string()]))?;
+        let mut faults = Vec::new();
+        let mut addr = |field: String, v: &str| {
+            if v.parse::<SocketAddr>().is_err() {
+                faults.push(format!("{field}: \"{v}\" is not an IP address with a port"));
+            }
+        };
+        addr("public_addr".into(), &p.public_addr);
+        addr("cluster_listen".into(), &p.cluster_listen);
+        addr("endpoints.cloud".into(), &p.endpoints.cloud);
+        addr("endpoints.state".into(), &p.endpoints.state);
+        for (i, peer) in p.peers.iter().enumerate() {
+            addr(format!("peers[{i}].peer_addr"), &peer.peer_addr);
+        }
+        let d = &p.deployment;
+        let positive = [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+        ];
+        for (field, v) in positive {
+            if !(v.is_finite() && v > 0.0) {
+                faults.push(format!("{field}: {v} must be above 0"));
+            }
+        }
+        if !(d.cloud.list_lag_s.is_finite() && d.cloud.list_lag_s >= 0.0) {
+            faults.push(format!("deployment.cloud.list_lag_s: {} must not be negative", d.cloud.list_lag_s));
+        }
+        if d.state.txn_ops < 2 {
+            faults.push("deployment.state.txn_ops: must be at least 2".into());
+        }
+        if d.machine_limits.sockets < 64 {
+            faults.push("deployment.machine_limits.sockets: must be at least 64".into());
+        }
+        let mut names: Vec<&str> = p.peers.iter().map(|x| x.host_name.as_str()).collect();
+        names.push(&p.host_name);
+        names.sort();
+        if names.windows(2).any(|w| w[0] == w[1]) || names.len() > 200 {
+            faults.push("peers: names must differ, at most 199".into());
+        }
+        for (i, t) in d.teams.iter().enumerate() {
+            for (f, v) in
+                [("cpus", t.cpus), ("cpus_max", t.cpus_max), ("gpus", t.gpus), ("gpus_max", t.gpus_max)]
+            {
+                if !(v.is_finite() && v >= 0.0) {
+                    faults.push(format!("deployment.teams[{i}].{f}: {v} must not be negative"));
+                }
+            }
+        }
+        if faults.is_empty() { Ok(p) } else { Err(SettingsError(faults)) }
+    }
+}
--- /dev/null
+++ b/src/shell/http.rs
@@ -0,0 +1,255 @@
+//! HTTP/1.1 messages over a buffer, by `httparse`.
+use thiserror::Error;
+
+/// Longest request body.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Longest head of a message.
+pub const MAX_HEAD: usize = 16 * 1024;
+/// Longest body of an answer that this node reads.
+const MAX_ANSWER: usize = 32 << 20;
+
+/// A request's head.
+#[derive(Debug, PartialEq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Bytes of the head.
+    pub head: usize,
+    /// Bytes of the body.
+    pub body: usize,
+    /// The connection stays open.
+    pub keep: bool,
+    /// The client waits for `100 Continue`.
+    pub expects: bool,
+}
+
+/// Why a request was refused; the connection is closed after it.
+#[derive(Debug, Error, PartialEq)]
+pub enum BadRequest {
+    /// Not HTTP.
+    #[error("broken HTTP")]
+    Broken,
+    /// Body over the limit.
+    #[error("the body is longer than 64 KiB")]
+    TooLong,
+    /// A body without a length.
+    #[error("a body needs Content-Length")]
+    NoLength,
+}
+
+impl BadRequest {
+    /// Its status.
+    pub fn status(&self) -> u16 {
+        match self {
+            BadRequest::Broken => 400,
+            BadRequest::TooLong => 413,
+            BadRequest::NoLength => 411,
+        }
+    }
+}
+
+/// Reads a request's head; `None` if more is needed.
+pub fn request_head(buf: &[u8]) -> Result<Option<RequestHead>, BadRequest> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut req = httparse::Request::new(&mut headers);
+    let head = match req.parse(buf) {
+        Ok(httparse::Status::Complete(n)) => n,
+        Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD => return Ok(None),
+        _ => return Err(BadRequest::Broken),
+    };
+    let mut body: Option<usize> = None;
+    let mut keep = req.version == Some(1);
+    let mut expects = false;
+    for h in req.headers.iter() {
+        let value = std::str::from_utf8(h.value).map_err(|_| BadRequest::Broken)?.trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            if !value.bytes().all(|b| b.is_ascii_digit()) || value.is_empty() {
+                return Err(BadRequest::Broken);
+            }
+            let n = value.parse().unwrap_or(usize::MAX);
+            if body.is_some_and(|b| b != n) {
+                return Err(BadRequest::Broken);
+            }
+            body = Some(n);
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(BadRequest::NoLength);
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            if value.eq_ignore_ascii_case("close") {
+                keep = false;
+            } else if value.eq_ignore_ascii_case("keep-alive") {
+                keep = true;
+            }
+        } else if h.name.eq_ignore_ascii_case("expect") {
+            expects = value.eq_ignore_ascii_case("100-continue");
+        }
+    }
+    let body = body.unwrap_or(0);
+    if body > MAX_BODY {
+        return Err(BadRequest::TooLong);
+    }
+    Ok(Some(RequestHead {
+        method: req.method.unwrap_or("").to_owned(),
+        path: req.path.unwrap_or("").to_owned(),
+        head,
+        body,
+        keep,
+        expects,
+    }))
+}
+
+/// Writes an answer.
+pub fn answer(status: u16, body: &[u8], retry_after: Option<u32>, keep: bool) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Error",
+    };
+    let mut out = format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    if let Some(s) = retry_after {
+        out.push_str(&format!("Retry-After: {s}\r\n"));
+    }
+    if !keep {
+        out.push_str("Connection: close\r\n");
+    }
+    out.push_str("\r\n");
+    let mut out = out.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
+
+/// How an answer's body ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum BodyEnd {
+    /// After so many bytes.
+    Length(usize),
+    /// Chunked.
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
+/// An answer's head.
+#[derive(Debug, PartialEq)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: u16,
+    /// Bytes of the head.
+    pub head: usize,
+    /// The body.
+    pub body: BodyEnd,
+    /// The connection stays open.
+    pub keep: bool,
+}
+
+/// Reads an answer's head; `Err` if it is not HTTP.
+pub fn answer_head(buf: &[u8]) -> Result<Option<AnswerHead>, BadRequest> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut res = httparse::Response::new(&mut headers);
+    let head = match res.parse(buf) {
+        Ok(httparse::Status::Complete(n)) => n,
+        Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD => return Ok(None),
+        _ => return Err(BadRequest::Broken),
+    };
+    let status = res.code.unwrap_or(0);
+    let mut body = if status == 204 || status < 200 { BodyEnd::Length(0) } else { BodyEnd::Close };
+    let mut keep = res.version == Some(1);
+    for h in res.headers.iter() {
+        let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let n: usize = value.parse().map_err(|_| BadRequest::Broken)?;
+            if n > MAX_ANSWER {
+                return Err(BadRequest::TooLong);
+            }
+            body = BodyEnd::Length(n);
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") && value.eq_ignore_ascii_case("chunked") {
+            body = BodyEnd::Chunked;
+        } else if h.name.eq_ignore_ascii_case("connection") && value.eq_ignore_ascii_case("close") {
+            keep = false;
+        }
+    }
+    keep &= body != BodyEnd::Close;
+    Ok(Some(AnswerHead { status, head, body, keep }))
+}
+
+/// Takes a chunked body apart; `None` if more is needed, else the body and
+/// the bytes it took.
+pub fn chunked(buf: &[u8]) -> Result<Option<(Vec<u8>, usize)>, BadRequest> {
+    let (mut at, mut out) = (0, Vec::new());
+    loop {
+        match httparse::parse_chunk_size(&buf[at..]) {
+            Ok(httparse::Status::Complete((head, size))) => {
+                let size = size as usize;
+                if out.len() + size > MAX_ANSWER {
+                    return Err(BadRequest::TooLong);
+                }
+                let end = at + head + size;
+                if buf.len() < end + 2 {
+                    return Ok(None);
+                }
+                out.extend_from_slice(&buf[at + head..end]);
+                at = end + 2;
+                if size == 0 {
+                    return Ok(Some((out, at)));
+                }
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(BadRequest::Broken),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn request_heads() {
+        // (text, status of the refusal or None, (body, keep))
+        let cases: [(&str, Option<u16>, Option<(usize, bool)>); 11] = [
+            ("GET /ready HTTP/1.1\r\n\r\n", None, Some((0, true))),
+            ("GET /ready HTTP/1.0\r\n\r\n", None, Some((0, false))),
+            ("POST /x HTTP/1.1\r\nContent-Length: 5\r\nConnection: close\r\n\r\n", None, Some((5, false))),
+            ("GET /ready HT", None, None),
+            ("nonsense\r\n\r\n", Some(400), None),
+            ("\x00\x01\x02", Some(400), None),
+            ("POST /x HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Some(400), None),
+            ("POST /x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", Some(400), None),
+            ("POST /x HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", Some(413), None),
+            ("POST /x HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", Some(413), None),
+            ("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", Some(411), None),
+        ];
+        for (text, status, want) in cases {
+            match request_head(text.as_bytes()) {
+                Ok(h) => assert_eq!((None, h.map(|h| (h.body, h.keep))), (status, want), "{text:?}"),
+                Err(e) => assert_eq!(Some(e.status()), status, "{text:?}"),
+            }
+        }
+        assert_eq!(request_head(&vec![b'a'; MAX_HEAD]), Err(BadRequest::Broken));
+    }
+
+    #[test]
+    fn answers() {
+        let a = answer(503, b"{}", Some(1), false);
+        let h = answer_head(&a).unwrap().unwrap();
+        assert_eq!((h.status, h.body, h.keep, a.len() - h.head), (503, BodyEnd::Length(2), false, 2));
+        let c = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        assert_eq!(chunked(c).unwrap(), Some((b"abcde".to_vec(), c.len())));
+        assert_eq!(chunked(&c[..12]).unwrap(), None);
+        assert!(chunked(b"zz\r\n").is_err());
+    }
+}
--- /dev/null
+++ b/src/shell/mod.rs
@@ -0,0 +1,153 @@
+//! Sockets and timers round the core.
+pub mod client;
+pub mod http;
+pub mod logger;
+pub mod peers;
+pub mod server;
+
+use crate::core::ids::{Micros, NodeId};
+use crate::core::node::{Node, Nodes};
+use crate::core::{CallResult, Input, Output, RequestId};
+use crate::peer::{Envelope, Message};
+use crate::settings::{Operator, Platform};
+use log::{error, info};
+use smol::channel::{Receiver, Sender, bounded};
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// An answer on its way to a connection.
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON body.
+    pub body: Vec<u8>,
+    /// `Retry-After`.
+    pub retry_after: Option<u32>,
+}
+
+/// Everything the tasks of this process share.
+pub struct Shell {
+    node: RefCell<Node>,
+    started: Instant,
+    waiting: RefCell<HashMap<RequestId, Sender<Reply>>>,
+    next_request: Cell<u64>,
+    executor: Rc<LocalExecutor<'static>>,
+    client: client::Client,
+    peers: Vec<Option<Sender<Vec<u8>>>>,
+    incarnation: u64,
+    me: NodeId,
+}
+
+impl Shell {
+    fn now(&self) -> Micros {
+        // Not zero, which stands for "never" in places.
+        Micros(self.started.elapsed().as_micros() as u64 + 1_000_000)
+    }
+
+    /// Gives an input to the core and does what it says.
+    pub fn input(self: &Rc<Self>, input: Input) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let outputs = self.node.borrow_mut().handle(self.now(), wall, input);
+        for o in outputs {
+            match o {
+                Output::Answer { id, status, body, retry_after } => {
+                    if let Some(tx) = self.waiting.borrow_mut().remove(&id) {
+                        let _ = tx.try_send(Reply { status, body, retry_after });
+                    }
+                }
+                Output::Call { id, call } => {
+                    let shell = self.clone();
+                    self.executor
+                        .spawn(async move {
+                            let result: CallResult = shell.client.call(&call).await;
+                            shell.input(Input::Called { id, result });
+                        })
+                        .detach();
+                }
+                Output::Send { to, message } => self.send(to, message),
+            }
+        }
+    }
+
+    fn send(&self, to: NodeId, message: Message) {
+        let Some(Some(tx)) = self.peers.get(to.0 as usize) else { return };
+        match crate::peer::encode(&Envelope { from: self.me, incarnation: self.incarnation, message }) {
+            // A full queue means a peer out of reach; everything is sent again.
+            Ok(frame) => drop(tx.try_send(frame)),
+            Err(e) => error!("message to controller {} not sent: {e}", to.0),
+        }
+    }
+
+    /// A request from a connection; the answer comes on the channel.
+    pub fn request(
+        self: &Rc<Self>,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    ) -> (RequestId, Receiver<Reply>) {
+        let id = RequestId(self.next_request.get());
+        self.next_request.set(id.0 + 1);
+        let (tx, rx) = bounded(1);
+        self.waiting.borrow_mut().insert(id, tx);
+        self.input(Input::Request { id, method, path, body });
+        (id, rx)
+    }
+
+    /// The requester is gone.
+    pub fn gone(self: &Rc<Self>, id: RequestId) {
+        if self.waiting.borrow_mut().remove(&id).is_some() {
+            self.input(Input::Gone(id));
+        }
+    }
+}
+
+/// Runs the service until the process is killed.
+pub fn run(platform: Platform, operator: Operator) -> std::io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let ex = executor.clone();
+    smol::block_on(ex.run(async move {
+        let nodes = Nodes::new(&platform);
+        let started = Instant::now();
+        let seed = fastrand::u64(..) >> 1;
+        let node = Node::new(&platform, operator, seed, Micros(1_000_000));
+        let incarnation = node.incarnation();
+        let sockets = platform.deployment.machine_limits.sockets;
+        let mut receivers = Vec::new();
+        let peers = nodes
+            .names
+            .iter()
+            .map(|name| {
+                let addr = platform.peers.iter().find(|p| p.host_name == *name)?.peer_addr.clone();
+                let (tx, rx) = bounded(64);
+                receivers.push((addr, rx));
+                Some(tx)
+            })
+            .collect();
+        let shell = Rc::new(Shell {
+            node: RefCell::new(node),
+            started,
+            waiting: RefCell::default(),
+            next_request: Cell::new(1),
+            executor: executor.clone(),
+            client: client::Client::new(&platform.endpoints.state, &platform.endpoints.cloud),
+            peers,
+            incarnation,
+            me: nodes.me,
+        });
+        for (addr, rx) in receivers {
+            executor.spawn(peers::dial(addr, rx)).detach();
+        }
+        let cluster = smol::net::TcpListener::bind(&platform.cluster_listen).await?;
+        let public = smol::net::TcpListener::bind(&platform.public_addr).await?;
+        info!("{} listens on {} and {}", platform.host_name, platform.public_addr, platform.cluster_listen);
+        executor.spawn(peers::listen(shell.clone(), cluster, executor.clone(), nodes.names.len())).detach();
+        executor.spawn(server::listen(shell.clone(), public, executor.clone(), sockets)).detach();
+        loop {
+            shell.input(Input::Tick);
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }))
+}
--- /dev/null
+++ b/src/wire/users.rs
@@ -0,0 +1,170 @@
+//! Users: submissions and answers.
+use crate::core::ids::{JobId, Resources};
+use crate::core::jobs::{JobSpec, Kind, Rank};
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+
+/// A submission as users write it.
+#[derive(Debug, Deserialize)]
+struct Submission {
+    #[serde(rename = "ref")]
+    id: String,
+    lot: String,
+    crew: String,
+    manner: Kind,
+    rank: Rank,
+    pieces: u32,
+    cpus: f64,
+    gpus: f64,
+    memory_gb: f64,
+    bundle: String,
+    image_gb: f64,
+    #[serde(default)]
+    builds: Option<Vec<String>>,
+    #[serde(default)]
+    yard: Option<String>,
+    same_place: bool,
+    apart: bool,
+    loaners: bool,
+    guess_s: f64,
+    mark_s: f64,
+    stow_s: f64,
+    #[serde(default)]
+    due_s: Option<f64>,
+}
+
+/// Most tasks that a job may have.
+pub const MAX_TASKS: u32 = 100_000;
+
+/// The job id of a body, when it can be read at all: a job that is known is
+/// answered 200 whatever else the retry says.
+pub fn ref_of(body: &[u8]) -> Option<JobId> {
+    let map: Map<String, Value> = serde_json::from_slice(body).ok()?;
+    JobId::parse(map.get("ref")?.as_str()?)
+}
+
+/// Reads and checks a submission; the error is the reason for a 400.
+pub fn parse_submission(body: &[u8]) -> Result<JobSpec, String> {
+    let value: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
+    if !value.is_object() {
+        return Err("not an object".into());
+    }
+    let s: Submission = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    let id = JobId::parse(&s.id).ok_or("ref: not of the form j-000412")?;
+    if s.pieces == 0 || s.pieces > MAX_TASKS {
+        return Err(format!("pieces: must be 1 to {MAX_TASKS}"));
+    }
+    let amounts = [
+        ("cpus", s.cpus),
+        ("gpus", s.gpus),
+        ("memory_gb", s.memory_gb),
+        ("image_gb", s.image_gb),
+        ("guess_s", s.guess_s),
+        ("mark_s", s.mark_s),
+        ("stow_s", s.stow_s),
+        ("due_s", s.due_s.unwrap_or(0.0)),
+    ];
+    for (name, v) in amounts {
+        if !v.is_finite() || !(0.0..=1e9).contains(&v) {
+            return Err(format!("{name}: must be a number from 0 to 1e9"));
+        }
+    }
+    let texts = [("lot", &s.lot), ("crew", &s.crew), ("bundle", &s.bundle)];
+    for (name, t) in texts {
+        if t.is_empty() || t.len() > 256 {
+            return Err(format!("{name}: must have 1 to 256 bytes"));
+        }
+    }
+    if s.builds.as_ref().is_some_and(|b| b.len() > 64 || b.iter().any(|t| t.len() > 64)) {
+        return Err("builds: at most 64 names of 64 bytes".into());
+    }
+    if s.yard.as_ref().is_some_and(|y| y.len() > 64) {
+        return Err("yard: at most 64 bytes".into());
+    }
+    Ok(JobSpec {
+        id,
+        class: s.lot,
+        team: s.crew,
+        kind: s.manner,
+        rank: s.rank,
+        tasks: s.pieces,
+        need: Resources::need(s.cpus, s.gpus, s.memory_gb),
+        types: s.builds,
+        zone: s.yard,
+        one_zone: s.same_place,
+        spread: s.apart,
+        spot: s.loaners,
+        image: s.bundle,
+        image_gb: s.image_gb,
+        estimate_s: s.guess_s,
+        checkpoint_s: s.mark_s,
+        save_s: s.stow_s,
+        deadline_s: s.due_s,
+    })
+}
+
+/// The state of a job as users see it.
+pub fn job_answer(id: JobId, stage: &str, done: u32, running: u32) -> Vec<u8> {
+    json!({"ref": id.to_string(), "stage": stage, "done": done, "running": running}).to_string().into_bytes()
+}
+
+/// A short reason.
+pub fn error(reason: &str) -> Vec<u8> {
+    json!({ "error": reason }).to_string().into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn good() -> Value {
+        json!({"ref":"j-000412","lot":"train","crew":"vision","manner":"array","rank":"high",
+            "pieces":16,"cpus":8.0,"gpus":1.0,"memory_gb":64.0,"bundle":"img-07","image_gb":6.2,
+            "builds":["g8"],"yard":null,"same_place":true,"apart":false,"loaners":true,
+            "guess_s":240.0,"mark_s":30.0,"stow_s":4.0,"due_s":900.0})
+    }
+
+    #[test]
+    fn submissions_are_checked() {
+        assert!(parse_submission(good().to_string().as_bytes()).is_ok());
+        // (field, value that makes it invalid; null removes a required one)
+        let bad = [
+            ("ref", json!("x")),
+            ("ref", json!(7)),
+            ("lot", json!("")),
+            ("crew", Value::Null),
+            ("manner", json!("ensemble")),
+            ("rank", json!("urgent")),
+            ("pieces", json!(0)),
+            ("pieces", json!(100_001)),
+            ("pieces", json!(-1)),
+            ("pieces", json!(1.5)),
+            ("cpus", json!(-0.5)),
+            ("cpus", json!("4")),
+            ("memory_gb", json!(1e300)),
+            ("due_s", json!(-1.0)),
+            ("same_place", json!(1)),
+            ("builds", json!("g8")),
+            ("yard", json!(3)),
+        ];
+        for (field, v) in bad {
+            let mut s = good();
+            s[field] = v.clone();
+            assert!(parse_submission(s.to_string().as_bytes()).is_err(), "{field}={v}");
+        }
+        for text in ["", "[]", "{", "null", "{}", "\u{1}", r#"{"ref":"j-000412","cpus":NaN}"#] {
+            assert!(parse_submission(text.as_bytes()).is_err(), "{text}");
+        }
+    }
+
+    #[test]
+    fn optional_fields_may_be_missing_and_unknown_ones_ignored() {
+        let mut s = good();
+        let m = s.as_object_mut().unwrap();
+        for f in ["builds", "yard", "due_s"] {
+            m.remove(f);
+        }
+        m.insert("later".into(), json!([1, 2]));
+        assert!(parse_submission(s.to_string().as_bytes()).is_ok());
+    }
+}
