--- /dev/null
+++ b/tests/world/main.rs
@@ -0,0 +1,1032 @@
+//! A seeded world in memory: three nodes, stand-ins for the outside systems,
+//! a network that loses, delays, repeats and holds back, and troubles. Every
+//! rule of the protocol is checked at each step.
+mod state;
+mod worker;
+
+use gorseshore::core::ids::Micros;
+use gorseshore::core::node::Node;
+use gorseshore::core::{Call, CallId, CallResult, Input, Output, RequestId, Target};
+use gorseshore::settings::{Operator, Platform};
+use gorseshore::wire::cloud::{Flavor, Flavors, Hire, Hosts, Rental, Rentals};
+use gorseshore::wire::workers::{CheckinAnswer, Direct};
+use serde_json::{Value, json};
+use state::{Outcome, State};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use worker::{Facts, Machine, Stage};
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+const LEASE: u64 = 12 * S;
+const CANCEL: u64 = 34 * S;
+const NODES: usize = 3;
+const ZONES: [&str; 2] = ["east", "west"];
+const NODE_ZONES: [usize; NODES] = [0, 1, 0];
+
+fn platform(i: usize) -> Platform {
+    let mut text = format!(
+        "host_name = \"n{i}\"\ndomain = \"{}\"\npublic_addr = \"127.0.0.1:1\"\n\
+         cluster_listen = \"127.0.0.1:2\"\n",
+        ZONES[NODE_ZONES[i]]
+    );
+    for j in (0..NODES).filter(|j| *j != i) {
+        text += &format!(
+            "[[peers]]\nhost_name = \"n{j}\"\ndomain = \"{}\"\npeer_addr = \"127.0.0.1:3\"\n",
+            ZONES[NODE_ZONES[j]]
+        );
+    }
+    text += "[endpoints]\ncloud = \"127.0.0.1:4\"\nstate = \"127.0.0.1:5\"\n\
+        [deployment]\nzones = [\"east\", \"west\"]\n\
+        [[deployment.teams]]\nname = \"free\"\n\
+        [[deployment.teams]]\nname = \"tight\"\ncpus_max = 9.0\n\
+        [deployment.workers]\nreport_s = 2.0\nlease_s = 12.0\ncancel_s = 34.0\n\
+        [deployment.state]\nrps = 200.0\nwrite_rps = 60.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+        [deployment.cloud]\nrps = 8.0\nlist_lag_s = 5.0\n";
+    Platform::parse(&text).unwrap()
+}
+
+/// A job as its user knows it.
+struct Job {
+    body: Value,
+    team: String,
+    service: bool,
+    tasks: u32,
+    cpus: f64,
+    run_us: u64,
+    save_us: Option<u64>,
+    spread: bool,
+    spot: bool,
+    build: Option<&'static str>,
+    submitted: bool,
+    accepted: bool,
+    abort_asked: bool,
+    aborted_at: Option<u64>,
+    told_done: bool,
+    done: Vec<bool>,
+    next_try: u64,
+    abort_at: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize),
+    Restart(usize),
+    /// A call reaches its target.
+    Arrive(usize, u64, CallId, Call),
+    /// Its answer, or the end of waiting.
+    Called(usize, u64, CallId, CallResult),
+    Peer(usize, usize, u64, gorseshore::peer::Message),
+    Request(usize, u64, RequestId, &'static str, String, Vec<u8>),
+    Answered(RequestId, u16, Vec<u8>),
+    Workers,
+    Users,
+    Trouble,
+    Heal,
+}
+
+struct Watch {
+    node: usize,
+    incarnation: u64,
+    call: CallId,
+    prefix: String,
+    from: u64,
+    until: u64,
+}
+
+enum Asker {
+    Worker(String, u64),
+    Submit(usize),
+    Poll(usize),
+    Abort(usize),
+    Stranger,
+}
+
+struct World {
+    now: u64,
+    rng: fastrand::Rng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    next: u64,
+    nodes: Vec<Option<Node>>,
+    incarnations: Vec<u64>,
+    state: State,
+    refused_until: Vec<u64>,
+    watches: Vec<Watch>,
+    machines: BTreeMap<String, Machine>,
+    hires: HashMap<String, Vec<String>>,
+    history: Vec<(u64, Vec<Rental>)>,
+    born: HashMap<String, u64>,
+    next_machine: u64,
+    cloud_down_until: u64,
+    late_boots_until: u64,
+    /// Cut zone pair, node from workers, node from peers: until when.
+    zones_cut_until: u64,
+    node_cut_until: Vec<u64>,
+    jobs: Vec<Job>,
+    asked: HashMap<RequestId, Asker>,
+    next_request: u64,
+    broken: Vec<String>,
+    started: usize,
+    completed: usize,
+    quiet: bool,
+}
+
+impl World {
+    fn new(seed: u64, quiet: bool) -> Self {
+        let mut w = World {
+            now: S,
+            rng: fastrand::Rng::with_seed(seed),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next: 0,
+            nodes: Vec::new(),
+            incarnations: vec![0; NODES],
+            state: State::default(),
+            refused_until: vec![0; NODES],
+            watches: Vec::new(),
+            machines: BTreeMap::new(),
+            hires: HashMap::new(),
+            history: Vec::new(),
+            born: HashMap::new(),
+            next_machine: 0,
+            cloud_down_until: 0,
+            late_boots_until: 0,
+            zones_cut_until: 0,
+            node_cut_until: vec![0; NODES],
+            jobs: Vec::new(),
+            asked: HashMap::new(),
+            next_request: 1,
+            broken: Vec::new(),
+            started: 0,
+            completed: 0,
+            quiet,
+        };
+        for i in 0..NODES {
+            w.nodes.push(None);
+            w.at(0, Event::Restart(i));
+        }
+        for z in ZONES {
+            w.rent("big", z, false);
+        }
+        w.at(0, Event::Workers);
+        w.at(S, Event::Users);
+        if !quiet {
+            w.at(15 * S, Event::Trouble);
+        }
+        w
+    }
+
+    fn at(&mut self, delay: u64, e: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((self.now + delay, self.next)));
+        self.events.insert(self.next, e);
+    }
+
+    fn break_rule(&mut self, rule: &str, what: String) {
+        self.broken.push(format!("{rule} at {:.3}: {what}", self.now as f64 / 1e6));
+    }
+
+    fn delay(&mut self) -> u64 {
+        // Mostly a millisecond, sometimes a good deal more.
+        let r = &mut self.rng;
+        if r.u32(0..200) == 0 { r.u64(100 * MS..900 * MS) } else { r.u64(300..2500) }
+    }
+
+    // ---- network ---------------------------------------------------------
+
+    fn node_machine_cut(&self, n: usize, m: &Machine) -> u64 {
+        let mut until = self.node_cut_until[n].max(m.cut_until);
+        if ZONES[NODE_ZONES[n]] != m.zone {
+            until = until.max(self.zones_cut_until);
+        }
+        if until > self.now { until } else { 0 }
+    }
+
+    fn node_node_cut(&self, a: usize, b: usize) -> u64 {
+        let mut until = self.node_cut_until[a].max(self.node_cut_until[b]);
+        if NODE_ZONES[a] != NODE_ZONES[b] {
+            until = until.max(self.zones_cut_until);
+        }
+        if until > self.now { until } else { 0 }
+    }
+
+    // ---- nodes -----------------------------------------------------------
+
+    fn feed(&mut self, n: usize, input: Input) {
+        let now = self.now;
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        let outputs = node.handle(Micros(now), 1_700_000_000_000 + now / 1000, input);
+        let me = self.incarnations[n];
+        for o in outputs {
+            match o {
+                Output::Answer { id, status, body, .. } => {
+                    let d = self.delay();
+                    self.at(d, Event::Answered(id, status, body));
+                }
+                Output::Call { id, call } => {
+                    self.at(call.timeout.0, Event::Called(n, me, id, CallResult::Unknown));
+                    let d = self.delay();
+                    if let Target::Worker(addr) = &call.target {
+                        let Some(m) = self.machines.get(addr).filter(|m| m.up_at <= now) else {
+                            self.at(d, Event::Called(n, me, id, CallResult::NotSent));
+                            continue;
+                        };
+                        let cut = self.node_machine_cut(n, m);
+                        if cut > 0 {
+                            // Held back and delivered after the cut, or lost.
+                            if self.rng.bool() {
+                                self.at(cut - now + d, Event::Arrive(n, me, id, call));
+                            }
+                            continue;
+                        }
+                    }
+                    match self.rng.u32(0..400) {
+                        0 if !self.quiet => {}
+                        // Executed much later.
+                        1 if !self.quiet => {
+                            let late = self.rng.u64(S..40 * S);
+                            self.at(late, Event::Arrive(n, me, id, call));
+                        }
+                        _ => self.at(d, Event::Arrive(n, me, id, call)),
+                    }
+                }
+                Output::Send { to, message } => {
+                    let to = to.0 as usize;
+                    let cut = self.node_node_cut(n, to);
+                    let d = self.delay();
+                    let late = if cut > 0 { cut - now } else { 0 };
+                    if cut > 0 && self.rng.bool() || !self.quiet && self.rng.u32(0..300) == 0 {
+                        continue;
+                    }
+                    if !self.quiet && self.rng.u32(0..100) == 0 {
+                        let again = self.rng.u64(0..3 * S);
+                        self.at(late + d + again, Event::Peer(n, to, me, message.clone()));
+                    }
+                    self.at(late + d, Event::Peer(n, to, me, message));
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, n: usize, method: &'static str, path: String, body: Vec<u8>, asker: Asker) {
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        self.asked.insert(id, asker);
+        let d = self.delay();
+        let me = self.incarnations[n];
+        self.at(d, Event::Request(n, me, id, method, path, body));
+    }
+
+    // ---- cloud -----------------------------------------------------------
+
+    fn flavors() -> Vec<Flavor> {
+        let f = |sku: &str, cpus, hourly| Flavor {
+            sku: sku.into(),
+            cpus,
+            gpus: 0.0,
+            memory_gb: cpus * 4.0,
+            cache_gb: 40.0,
+            pull_gb_per_s: 1.0,
+            hourly,
+            spot_price: Some(hourly * 0.3),
+            boot_s: 8.0,
+            yards: ZONES.iter().map(|z| z.to_string()).collect(),
+        };
+        vec![f("small", 4.0, 0.4), f("big", 16.0, 1.5)]
+    }
+
+    fn rent(&mut self, build: &str, zone: &str, spot: bool) -> String {
+        let name = format!("host-{:06}", self.next_machine);
+        self.next_machine += 1;
+        let boot = match self.rng.u32(0..20) {
+            0 => S,
+            1 if !self.quiet => 10_000 * S,
+            _ if self.now < self.late_boots_until => self.rng.u64(20 * S..90 * S),
+            _ => self.rng.u64(5 * S..12 * S),
+        };
+        let m = Machine {
+            name: name.clone(),
+            build: build.into(),
+            zone: zone.into(),
+            spot,
+            cpus: if build == "small" { 4.0 } else { 16.0 },
+            up_at: self.now + boot,
+            hung_until: 0,
+            cut_until: 0,
+            sick: false,
+            shift: 1,
+            tally: 0,
+            baton: 0,
+            tasks: Vec::new(),
+            report_to: self.rng.usize(0..NODES),
+            next_report: self.now + boot,
+            open: None,
+            lease_from: self.now + boot,
+            last_sent: 0,
+            changed: false,
+        };
+        self.machines.insert(name.clone(), m);
+        self.born.insert(name.clone(), self.now);
+        name
+    }
+
+    fn cloud(&mut self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        if self.now < self.cloud_down_until {
+            return (503, br#"{"error":"trouble"}"#.to_vec());
+        }
+        match (method, path.split('?').next().unwrap()) {
+            ("GET", "/flavors") => (200, serde_json::to_vec(&Flavors { builds: Self::flavors() }).unwrap()),
+            ("POST", "/rentals") => {
+                let h: Hire = serde_json::from_slice(body).unwrap();
+                if let Some(hosts) = self.hires.get(&h.hire) {
+                    return (200, serde_json::to_vec(&Hosts { hosts: hosts.clone() }).unwrap());
+                }
+                let there = self
+                    .machines
+                    .values()
+                    .filter(|m| (&m.build, &m.zone, m.spot) == (&h.build, &h.yard, h.loaners))
+                    .count();
+                let room = 5usize.saturating_sub(there);
+                if room == 0 {
+                    return (503, br#"{"error":"no capacity"}"#.to_vec());
+                }
+                let n = room.min(h.number as usize);
+                let hosts: Vec<String> = (0..n).map(|_| self.rent(&h.build, &h.yard, h.loaners)).collect();
+                self.hires.insert(h.hire, hosts.clone());
+                (200, serde_json::to_vec(&Hosts { hosts }).unwrap())
+            }
+            ("POST", "/rentals/delete") => {
+                let h: Hosts = serde_json::from_slice(body).unwrap();
+                for name in h.hosts {
+                    self.machines.remove(&name);
+                }
+                (200, b"{}".to_vec())
+            }
+            ("GET", "/rentals") => {
+                let lag = self.rng.u64(3 * S..10 * S);
+                let view = self.history.iter().rev().find(|(t, _)| *t + lag <= self.now);
+                let hosts = view.map_or(Vec::new(), |v| v.1.clone());
+                (200, serde_json::to_vec(&Rentals { hosts, truncated: false }).unwrap())
+            }
+            other => panic!("not in the protocol: {other:?}"),
+        }
+    }
+
+    fn remember(&mut self) {
+        let list = self
+            .machines
+            .values()
+            .map(|m| Rental {
+                name: m.name.clone(),
+                addr: m.name.clone(),
+                build: m.build.clone(),
+                yard: m.zone.clone(),
+                loaners: m.spot,
+                stage: if m.up_at <= self.now { "running" } else { "starting" }.into(),
+                held_s: (self.now - self.born[&m.name]) as f64 / 1e6,
+            })
+            .collect();
+        self.history.push((self.now, list));
+        if self.history.len() > 400 {
+            self.history.remove(0);
+        }
+    }
+
+    // ---- workers ---------------------------------------------------------
+
+    fn with_machine<T>(
+        &mut self,
+        name: &str,
+        f: impl FnOnce(&mut Machine, &dyn Fn(&str) -> Option<Facts>, u64) -> T,
+    ) -> Option<T> {
+        let (jobs, now) = (&self.jobs, self.now);
+        let facts = |piece: &str| facts(jobs, piece);
+        self.machines.get_mut(name).map(|m| f(m, &facts, now))
+    }
+
+    fn workers(&mut self) {
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in names {
+            let now = self.now;
+            let Some(m) = self.machines.get_mut(&name) else { continue };
+            if now < m.up_at {
+                continue;
+            }
+            // A hung machine does nothing at all; its lease is looked at when
+            // it goes on.
+            if now < m.hung_until {
+                continue;
+            }
+            m.check_lease(now, LEASE);
+            let started = self.with_machine(&name, |m, f, now| m.advance(f, now)).unwrap_or_default();
+            for piece in started {
+                self.check_start(&name, &piece);
+            }
+            let Some(m) = self.machines.get_mut(&name) else { continue };
+            if let Some((_, sent, _)) = m.open
+                && now > sent + 4 * S
+            {
+                m.open = None;
+                m.report_to = (m.report_to + 1) % NODES;
+                m.next_report = now + S;
+            }
+            let due = now >= m.next_report || m.changed && now >= m.last_sent + S / 2 && m.next_report > now;
+            if m.open.is_none() && due && (now >= m.next_report || m.changed) {
+                m.changed = false;
+                m.last_sent = now;
+                m.next_report = now + self.rng.u64(1500 * MS..2500 * MS);
+                let body = serde_json::to_vec(&m.report()).unwrap();
+                let to = m.report_to;
+                let key = self.next_request;
+                m.open = Some((key, now, m.shift));
+                let cut = {
+                    let m = &self.machines[&name];
+                    self.node_machine_cut(to, m)
+                };
+                if cut > 0 {
+                    // The late report has a requester that is long gone.
+                    self.next_request += 1;
+                    if self.rng.bool() {
+                        let me = self.incarnations[to];
+                        let e = Event::Request(to, me, RequestId(key), "POST", "/checkin".into(), body);
+                        self.at(cut - now, e);
+                    }
+                } else {
+                    self.request(to, "POST", "/checkin".into(), body, Asker::Worker(name.clone(), key));
+                }
+            }
+        }
+        self.check_all();
+    }
+
+    fn checkin_answered(&mut self, name: &str, key: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if now < m.hung_until {
+            // Handled when it goes on.
+            let d = m.hung_until - now + 1000;
+            let id = RequestId(self.next_request);
+            self.next_request += 1;
+            self.asked.insert(id, Asker::Worker(name.into(), key));
+            self.at(d, Event::Answered(id, status, body.to_vec()));
+            return;
+        }
+        let Some((open, sent, shift)) = m.open else { return };
+        if open != key || now > sent + 4 * S {
+            return;
+        }
+        m.open = None;
+        m.check_lease(now, LEASE);
+        match status {
+            200 => {
+                let a: CheckinAnswer = serde_json::from_slice(body).unwrap();
+                if a.baton < m.baton || shift != m.shift {
+                    return;
+                }
+                if a.baton > m.baton {
+                    m.baton = a.baton;
+                    m.changed = true;
+                }
+                m.lease_from = sent;
+                self.with_machine(name, |m, f, now| m.execute(&a.orders, f, now));
+            }
+            421 => {
+                let v: Value = serde_json::from_slice(body).unwrap();
+                let to = v["foreman"].as_str().and_then(|s| s[1..].parse::<usize>().ok());
+                match to.filter(|t| *t != m.report_to) {
+                    Some(t) => {
+                        m.report_to = t;
+                        m.next_report = now + 100 * MS;
+                    }
+                    None => {
+                        m.report_to = (m.report_to + 1) % NODES;
+                        m.next_report = now + S;
+                    }
+                }
+            }
+            _ => {
+                m.report_to = (m.report_to + 1) % NODES;
+                m.next_report = now + S;
+            }
+        }
+    }
+
+    // ---- rules -----------------------------------------------------------
+
+    fn job_of(piece: &str) -> (usize, u32) {
+        let (j, i) = piece.split_once('/').unwrap();
+        (j[2..].parse().unwrap(), i.parse().unwrap())
+    }
+
+    fn check_start(&mut self, at: &str, piece: &str) {
+        self.started += 1;
+        let (j, index) = Self::job_of(piece);
+        let m = &self.machines[at];
+        let job = &self.jobs[j];
+        let mut faults: Vec<(&str, String)> = Vec::new();
+        for (name, o) in &self.machines {
+            if name != at && o.tasks.iter().any(|t| t.name == piece && t.on()) {
+                faults.push(("ran_twice", format!("{piece} starts on {at} while it is on {name}")));
+            }
+        }
+        if m.spot && !job.spot || job.build.is_some_and(|b| b != m.build) || index >= job.tasks {
+            faults.push(("wrong_place", format!("{piece} on {at} ({}, spot {})", m.build, m.spot)));
+        }
+        if job.spread {
+            let here = self
+                .machines
+                .values()
+                .filter(|o| o.zone == m.zone)
+                .flat_map(|o| o.tasks.iter())
+                .filter(|t| t.on() && Self::job_of(&t.name).0 == j)
+                .count() as u32;
+            if here > job.tasks.div_ceil(2) {
+                faults.push(("wrong_place", format!("{here} tasks of job {j} in {}", m.zone)));
+            }
+        }
+        if job.aborted_at.is_some_and(|t| self.now > t + CANCEL) {
+            faults.push(("ran_cancelled", format!("{piece} starts on {at}")));
+        }
+        for (rule, what) in faults {
+            self.break_rule(rule, what);
+        }
+    }
+
+    fn check_all(&mut self) {
+        let mut tight = 0.0;
+        let mut faults: Vec<(&str, String)> = Vec::new();
+        let mut done = Vec::new();
+        for (name, m) in &self.machines {
+            for t in &m.tasks {
+                let (j, i) = Self::job_of(&t.name);
+                let job = &self.jobs[j];
+                if t.stage == Stage::Exited("done") {
+                    done.push((j, i));
+                }
+                if !t.on() {
+                    continue;
+                }
+                if job.team == "tight" {
+                    tight += job.cpus;
+                }
+                if job.aborted_at.is_some_and(|at| self.now > at + CANCEL) {
+                    faults.push(("ran_cancelled", format!("{} is on {name}", t.name)));
+                }
+            }
+        }
+        if tight > 9.0 + 1e-9 {
+            faults.push(("quota", format!("{tight} of 9 CPUs")));
+        }
+        for (j, i) in done {
+            let d = &mut self.jobs[j].done[i as usize];
+            self.completed += !*d as usize;
+            *d = true;
+        }
+        for (rule, what) in faults {
+            self.break_rule(rule, what);
+        }
+    }
+
+    fn answered(&mut self, id: RequestId, status: u16, body: Vec<u8>) {
+        let Some(asker) = self.asked.remove(&id) else { return };
+        let stage = |b: &[u8]| {
+            serde_json::from_slice::<Value>(b).ok().and_then(|v| v["stage"].as_str().map(str::to_owned))
+        };
+        match asker {
+            Asker::Worker(name, key) => self.checkin_answered(&name, key, status, &body),
+            Asker::Stranger => {
+                if status == 200 {
+                    self.break_rule("invented", "a job that nobody submitted".into());
+                }
+            }
+            Asker::Submit(j) => match status {
+                200 | 201 => {
+                    self.jobs[j].accepted = true;
+                    self.check_stage(j, &stage(&body).unwrap());
+                }
+                400 | 422 if self.jobs[j].accepted => {
+                    self.break_rule("forgotten", format!("job {j}: {status}"))
+                }
+                400 | 422 => panic!("job {j} refused: {}", String::from_utf8_lossy(&body)),
+                _ => {}
+            },
+            Asker::Poll(j) => match status {
+                200 => self.check_stage(j, &stage(&body).unwrap()),
+                404 if self.jobs[j].accepted => self.break_rule("forgotten", format!("job {j} is 404")),
+                _ => {}
+            },
+            Asker::Abort(j) => {
+                if status == 200 {
+                    let s = stage(&body).unwrap();
+                    self.check_stage(j, &s);
+                } else if status == 404 && self.jobs[j].accepted {
+                    self.break_rule("forgotten", format!("job {j} is 404"));
+                }
+            }
+        }
+    }
+
+    fn check_stage(&mut self, j: usize, stage: &str) {
+        let now = self.now;
+        let job = &mut self.jobs[j];
+        let mut fault = None;
+        match stage {
+            "done" => {
+                if job.service || job.done.iter().any(|d| !d) {
+                    fault = Some("not_done");
+                } else if job.aborted_at.is_some() {
+                    fault = Some("went_back");
+                }
+                job.told_done = true;
+            }
+            "aborted" => {
+                if job.told_done || !job.abort_asked {
+                    fault = Some("went_back");
+                }
+                job.aborted_at.get_or_insert(now);
+            }
+            _ if job.told_done || job.aborted_at.is_some() => fault = Some("went_back"),
+            _ => {}
+        }
+        if let Some(rule) = fault {
+            self.break_rule(rule, format!("job {j} is called {stage}"));
+        }
+    }
+
+    // ---- users and troubles ----------------------------------------------
+
+    fn users(&mut self) {
+        if self.now < 150 * S && (self.jobs.len() < 6 || self.rng.u32(0..12) == 0) {
+            self.new_job();
+        }
+        for j in 0..self.jobs.len() {
+            if self.now < self.jobs[j].next_try {
+                continue;
+            }
+            self.jobs[j].next_try = self.now + self.rng.u64(2 * S..5 * S);
+            let n = self.rng.usize(0..NODES);
+            let id = format!("j-{j:06}");
+            let job = &mut self.jobs[j];
+            if !job.accepted {
+                job.submitted = true;
+                let body = job.body.to_string().into_bytes();
+                self.request(n, "POST", "/submissions".into(), body, Asker::Submit(j));
+            } else if self.now > job.abort_at && job.aborted_at.is_none() && !job.told_done {
+                job.abort_asked = true;
+                self.request(n, "POST", format!("/submissions/{id}/abort"), Vec::new(), Asker::Abort(j));
+            } else if self.rng.u32(0..8) == 0 {
+                // A retry of what is known, also when it makes no sense today.
+                let mut body = self.jobs[j].body.clone();
+                body["pieces"] = json!(-1);
+                self.request(
+                    n,
+                    "POST",
+                    "/submissions".into(),
+                    body.to_string().into_bytes(),
+                    Asker::Submit(j),
+                );
+            } else {
+                self.request(n, "GET", format!("/submissions/{id}"), Vec::new(), Asker::Poll(j));
+            }
+        }
+        if self.rng.u32(0..10) == 0 {
+            let n = self.rng.usize(0..NODES);
+            self.request(n, "GET", "/submissions/j-900000".into(), Vec::new(), Asker::Stranger);
+        }
+    }
+
+    fn new_job(&mut self) {
+        let j = self.jobs.len();
+        let r = &mut self.rng;
+        let service = r.u32(0..3) == 0;
+        let tight = r.u32(0..3) == 0;
+        let tasks = if service { r.u32(1..4) } else { r.u32(1..12) };
+        let cpus = if tight && service { 1.0 } else { r.u32(1..5) as f64 };
+        let run_us = r.u64(S..20 * S);
+        let spread = r.u32(0..3) == 0;
+        let spot = !service && r.bool();
+        let build = (r.u32(0..6) == 0).then_some("big");
+        let save_us = (!service && r.bool()).then_some(2 * S);
+        let team = if tight { "tight" } else { "free" };
+        // Services of the team with a limit end, or its arrays would wait for ever.
+        let ends = tight && service || r.u32(0..3) == 0;
+        let abort_at = if ends { self.now + r.u64(5 * S..60 * S) } else { u64::MAX };
+        let body = json!({"ref": format!("j-{j:06}"), "lot": "l", "crew": team,
+            "manner": if service { "standing" } else { "array" },
+            "rank": if service { "prod" } else { "standard" },
+            "pieces": tasks, "cpus": cpus, "gpus": 0.0, "memory_gb": 1.0, "bundle": "i",
+            "image_gb": 0.4, "builds": build.map(|b| vec![b]), "yard": null, "same_place": false,
+            "apart": spread, "loaners": spot, "guess_s": run_us as f64 / 1e6,
+            "mark_s": if save_us.is_some() { 5.0 } else { 0.0 }, "stow_s": 2.0, "due_s": null});
+        self.jobs.push(Job {
+            body,
+            team: team.into(),
+            service,
+            tasks,
+            cpus,
+            run_us,
+            save_us,
+            spread,
+            spot,
+            build,
+            submitted: false,
+            accepted: false,
+            abort_asked: false,
+            aborted_at: None,
+            told_done: false,
+            done: vec![false; tasks as usize],
+            next_try: 0,
+            abort_at,
+        });
+    }
+
+    fn trouble(&mut self) {
+        if self.now > 170 * S {
+            return;
+        }
+        let pause = self.rng.u64(2 * S..16 * S);
+        self.at(pause, Event::Trouble);
+        let n = self.rng.usize(0..NODES);
+        let length = self.rng.u64(3 * S..40 * S);
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        let some = (!names.is_empty()).then(|| names[self.rng.usize(0..names.len())].clone());
+        match self.rng.u32(0..12) {
+            0 => {
+                self.state.down = true;
+                self.at(length.min(25 * S), Event::Heal);
+            }
+            1 => self.crash(n),
+            2 => (0..NODES).for_each(|n| self.crash(n)),
+            3 => self.refused_until[n] = self.now + length,
+            4 => self.zones_cut_until = self.now + length,
+            5 => self.node_cut_until[n] = self.now + length,
+            6 => {
+                if let Some(m) = some {
+                    let until = self.now + length;
+                    if let Some(m) = self.machines.get_mut(&m) {
+                        m.hung_until = until;
+                    }
+                }
+            }
+            7 => {
+                if let Some(m) = some.and_then(|m| self.machines.get_mut(&m)) {
+                    m.cut_until = self.now + length;
+                }
+            }
+            8 => drop(some.map(|m| self.machines.remove(&m))),
+            9 => {
+                if let Some(m) = some.and_then(|m| self.machines.get_mut(&m)) {
+                    m.sick = true;
+                }
+            }
+            10 => self.cloud_down_until = self.now + length.min(15 * S),
+            _ => self.late_boots_until = self.now + length,
+        }
+    }
+
+    fn crash(&mut self, n: usize) {
+        if self.nodes[n].take().is_some() {
+            self.watches.retain(|w| w.node != n);
+            let back = self.rng.u64(2 * S..6 * S);
+            self.at(back, Event::Restart(n));
+        }
+    }
+
+    /// Jobs and machines, for a failed test.
+    fn describe(&self, jobs: &[usize]) -> (Vec<String>, Vec<String>) {
+        let jobs = jobs.iter().map(|j| {
+            let d = self.jobs[*j].done.iter().filter(|d| **d).count();
+            format!("{j}: {d} done; {}", self.jobs[*j].body)
+        });
+        let machines = self.machines.values().map(|m| {
+            let up = m.up_at <= self.now;
+            format!("{} {} {} spot={} up={up} sick={} {:?}", m.name, m.build, m.zone, m.spot, m.sick, m.tasks)
+        });
+        (jobs.collect(), machines.collect())
+    }
+
+    // ---- the loop --------------------------------------------------------
+
+    fn run(&mut self, until: u64) {
+        let mut last_history = 0;
+        while let Some(Reverse((t, key))) = self.queue.pop() {
+            if t > until || !self.broken.is_empty() {
+                break;
+            }
+            self.now = t;
+            let Some(e) = self.events.remove(&key) else { continue };
+            self.step(e);
+            if self.now > last_history + S / 2 {
+                last_history = self.now;
+                self.remember();
+            }
+        }
+    }
+
+    fn watches(&mut self) {
+        if self.state.down {
+            return;
+        }
+        self.state.expire(self.now);
+        let (mut i, now) = (0, self.now);
+        while i < self.watches.len() {
+            let w = &self.watches[i];
+            let body = if self.refused_until[w.node] > now {
+                None
+            } else {
+                let late = (now >= w.until).then(|| self.state.no_news());
+                self.state.news(&w.prefix, w.from).or(late)
+            };
+            match body {
+                Some(body) => {
+                    let w = self.watches.remove(i);
+                    let d = self.delay();
+                    let r = CallResult::Answer { status: 200, body };
+                    self.at(d, Event::Called(w.node, w.incarnation, w.call, r));
+                }
+                None => i += 1,
+            }
+        }
+    }
+
+    fn step(&mut self, e: Event) {
+        let now = self.now;
+        match e {
+            Event::Tick(n) => {
+                if self.nodes[n].is_some() {
+                    self.feed(n, Input::Tick);
+                    self.at(20 * MS, Event::Tick(n));
+                }
+                self.watches();
+            }
+            Event::Restart(n) => {
+                let seed = self.rng.u64(..) >> 1;
+                let node = Node::new(&platform(n), Operator::default(), seed, Micros(now));
+                self.incarnations[n] = node.incarnation();
+                self.nodes[n] = Some(node);
+                self.at(0, Event::Tick(n));
+            }
+            Event::Arrive(n, me, id, call) => self.arrive(n, me, id, call),
+            Event::Called(n, me, id, result) => {
+                if self.incarnations[n] == me {
+                    self.feed(n, Input::Called { id, result });
+                }
+            }
+            Event::Peer(from, to, incarnation, message) => {
+                let from = gorseshore::core::ids::NodeId(from as u8);
+                self.feed(to, Input::Peer { from, incarnation, message });
+            }
+            Event::Request(n, me, id, method, path, body) => {
+                if self.incarnations[n] == me && self.nodes[n].is_some() {
+                    self.feed(n, Input::Request { id, method: method.into(), path, body });
+                } else if let Some(Asker::Worker(..)) = self.asked.get(&id) {
+                    // Refused: the worker tries the next node.
+                    self.at(500, Event::Answered(id, 599, Vec::new()));
+                }
+            }
+            Event::Answered(id, status, body) => self.answered(id, status, body),
+            Event::Workers => {
+                self.workers();
+                self.at(50 * MS, Event::Workers);
+            }
+            Event::Users => {
+                self.users();
+                self.at(300 * MS, Event::Users);
+            }
+            Event::Trouble => self.trouble(),
+            Event::Heal => self.state.recover(now),
+        }
+    }
+
+    fn arrive(&mut self, n: usize, me: u64, id: CallId, call: Call) {
+        let now = self.now;
+        let answer = match &call.target {
+            Target::State if self.refused_until[n] > now && !call.path.starts_with("/follow") => {
+                Some((503, Vec::new()))
+            }
+            Target::State => {
+                let refused = self.refused_until[n] > now;
+                if refused && call.path.contains("hold_ms=0") {
+                    Some((503, Vec::new()))
+                } else {
+                    match self.state.request(call.method, &call.path, &call.body, now) {
+                        Outcome::Answer(status, body) if !refused => Some((status, body)),
+                        Outcome::Answer(..) => None,
+                        Outcome::Wait { prefix, from, until } => {
+                            self.watches.push(Watch {
+                                node: n,
+                                incarnation: me,
+                                call: id,
+                                prefix,
+                                from,
+                                until,
+                            });
+                            None
+                        }
+                    }
+                }
+            }
+            Target::Cloud => Some(self.cloud(call.method, &call.path, &call.body)),
+            Target::Worker(addr) => {
+                let addr = addr.clone();
+                let hung = self.machines.get(&addr).map_or(0, |m| m.hung_until);
+                if hung > now {
+                    // Executed when the machine goes on.
+                    self.at(hung - now + 500, Event::Arrive(n, me, id, call));
+                    return;
+                }
+                let out = self.with_machine(&addr, |m, f, now| {
+                    m.check_lease(now, LEASE);
+                    if call.path == "/status" {
+                        return (200, serde_json::to_vec(&m.report()).unwrap());
+                    }
+                    let d: Direct = serde_json::from_slice(&call.body).unwrap();
+                    m.direct(&d, f, now)
+                });
+                let cut = self.machines.get(&addr).map_or(1, |m| self.node_machine_cut(n, m));
+                out.filter(|_| cut == 0)
+            }
+        };
+        if let Some((status, body)) = answer {
+            let d = self.delay();
+            self.at(d, Event::Called(n, me, id, CallResult::Answer { status, body }));
+        }
+    }
+}
+
+fn facts(jobs: &[Job], piece: &str) -> Option<Facts> {
+    let (j, i) = World::job_of(piece);
+    let job = jobs.get(j).filter(|job| job.submitted && i < job.tasks)?;
+    Some(Facts {
+        cpus: job.cpus,
+        run_us: (!job.service).then_some(job.run_us),
+        tasks: job.tasks,
+        save_us: job.save_us,
+    })
+    .filter(|f| f.tasks > 0)
+}
+
+/// Plays a day; what it broke, and how much ran.
+fn play(seed: u64, quiet: bool) -> World {
+    let mut w = World::new(seed, quiet);
+    w.run(300 * S);
+    w
+}
+
+#[test]
+fn a_quiet_day_serves_everybody() {
+    for seed in [1, 2] {
+        let w = play(seed, true);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        for (j, job) in w.jobs.iter().enumerate() {
+            let over = job.told_done || job.aborted_at.is_some();
+            assert!(job.accepted && (job.service || over), "seed {seed}: job {j} is not over");
+            if job.service && !over {
+                let on = w
+                    .machines
+                    .values()
+                    .flat_map(|m| &m.tasks)
+                    .filter(|t| t.on() && World::job_of(&t.name).0 == j)
+                    .count();
+                assert!(
+                    on as u32 == job.tasks || job.team == "tight",
+                    "seed {seed}: job {j} has {on} replicas"
+                );
+            }
+        }
+    }
+}
+
+/// Troubles of every kind, overlapping, for 170 s; then the world heals, and
+/// all arrays must get done.
+#[test]
+fn rough_days_keep_the_rules() {
+    let seeds = std::env::var("WORLD_SEEDS").ok();
+    if std::env::var("LOG_LEVEL").is_ok() {
+        gorseshore::shell::logger::start(gorseshore::settings::LogFormat::Plain);
+    }
+    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
+        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
+        None => (100, 124),
+    };
+    let mut started = 0;
+    for seed in from..to {
+        let w = play(seed, false);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        started += w.started;
+        assert!(w.started > 20, "seed {seed}: only {} tasks started", w.started);
+        let late: Vec<usize> = (0..w.jobs.len())
+            .filter(|j| {
+                let job = &w.jobs[*j];
+                job.team == "free"
+                    && !job.service
+                    && job.accepted
+                    && !job.told_done
+                    && job.aborted_at.is_none()
+            })
+            .collect();
+        assert!(late.len() <= 1, "seed {seed}: {:?} are not over at the end", w.describe(&late));
+    }
+    println!("{started} tasks started in {} days", to - from);
+}
--- /dev/null
+++ b/tests/world/state.rs
@@ -0,0 +1,196 @@
+//! Stand-in for the state service, written from the protocol.
+use gorseshore::wire::state::{Event, Listing, Multi, News, Pair, Write};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+
+struct Entry {
+    value: Value,
+    stamp: u64,
+    lease: Option<u64>,
+}
+
+/// The service.
+#[derive(Default)]
+pub struct State {
+    ledger: u64,
+    keys: BTreeMap<String, Entry>,
+    leases: HashMap<u64, (u64, u64)>,
+    next_lease: u64,
+    log: Vec<Event>,
+    /// 503 to everybody.
+    pub down: bool,
+}
+
+/// A request's outcome: an answer, or a watch that waits.
+pub enum Outcome {
+    Answer(u16, Vec<u8>),
+    Wait { prefix: String, from: u64, until: u64 },
+}
+
+fn query(path: &str) -> HashMap<&str, &str> {
+    let q = path.split_once('?').map_or("", |x| x.1);
+    q.split('&').filter_map(|kv| kv.split_once('=')).collect()
+}
+
+impl State {
+    fn answer(status: u16, v: Value) -> Outcome {
+        Outcome::Answer(status, v.to_string().into_bytes())
+    }
+
+    /// Ends leases; their keys go.
+    pub fn expire(&mut self, now: u64) {
+        if self.down {
+            return;
+        }
+        let over: Vec<u64> = self.leases.iter().filter(|(_, l)| l.1 <= now).map(|(i, _)| *i).collect();
+        for id in over {
+            self.end(id);
+        }
+    }
+
+    fn end(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> =
+            self.keys.iter().filter(|(_, e)| e.lease == Some(id)).map(|(k, _)| k.clone()).collect();
+        for k in keys {
+            self.ledger += 1;
+            self.keys.remove(&k);
+            self.log.push(Event { put: None, remove: Some(k), v: Value::Null, stamp: self.ledger });
+        }
+    }
+
+    /// After an outage all leases have their full time again.
+    pub fn recover(&mut self, now: u64) {
+        self.down = false;
+        for l in self.leases.values_mut() {
+            l.1 = now + l.0;
+        }
+    }
+
+    /// The news of a watch, once there are any.
+    pub fn news(&self, prefix: &str, from: u64) -> Option<Vec<u8>> {
+        let news = self.collect(prefix, from);
+        (!news.is_empty()).then(|| self.news_body(news))
+    }
+
+    fn collect(&self, prefix: &str, from: u64) -> Vec<Event> {
+        self.log
+            .iter()
+            .filter(|e| e.stamp > from)
+            .filter(|e| e.put.as_deref().or(e.remove.as_deref()).is_some_and(|k| k.starts_with(prefix)))
+            .cloned()
+            .collect()
+    }
+
+    fn news_body(&self, news: Vec<Event>) -> Vec<u8> {
+        serde_json::to_vec(&News { ledger: self.ledger, news }).unwrap()
+    }
+
+    /// The empty answer of a watch whose time is over.
+    pub fn no_news(&self) -> Vec<u8> {
+        self.news_body(Vec::new())
+    }
+
+    /// Executes a request.
+    pub fn request(&mut self, method: &str, path: &str, body: &[u8], now: u64) -> Outcome {
+        if self.down {
+            if path.starts_with("/follow") && !path.contains("hold_ms=0") {
+                let q = query(path);
+                let from = q["from"].parse().unwrap();
+                return Outcome::Wait { prefix: q["prefix"].into(), from, until: now + 10_000_000 };
+            }
+            return Self::answer(503, json!({}));
+        }
+        self.expire(now);
+        let q = query(path);
+        match (method, path.split('?').next().unwrap()) {
+            ("GET", "/store") => {
+                let (prefix, from) = (q["prefix"], q.get("from").copied().unwrap_or(""));
+                // Small pages, so that paging is exercised.
+                let limit = q["limit"].parse::<usize>().unwrap().min(7);
+                let all: Vec<Pair> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from)
+                    .map(|(k, e)| Pair { path: k.clone(), v: e.value.clone(), stamp: e.stamp })
+                    .collect();
+                let truncated = all.len() > limit;
+                let pairs = all.into_iter().take(limit).collect();
+                Self::answer(200, json!(Listing { pairs, truncated, ledger: self.ledger }))
+            }
+            ("GET", "/follow") => {
+                let from: u64 = q["from"].parse().unwrap();
+                let news = self.collect(q["prefix"], from);
+                let hold: u64 = q["hold_ms"].parse().unwrap();
+                if news.is_empty() && hold > 0 {
+                    return Outcome::Wait { prefix: q["prefix"].into(), from, until: now + hold * 1000 };
+                }
+                Outcome::Answer(200, self.news_body(news))
+            }
+            ("POST", "/multi") => {
+                let m: Multi = serde_json::from_slice(body).unwrap();
+                self.multi(m)
+            }
+            ("POST", "/grants") => {
+                let v: Value = serde_json::from_slice(body).unwrap();
+                let life = v["life_ms"].as_u64().unwrap() * 1000;
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (life, now + life));
+                Self::answer(200, json!({ "hold": self.next_lease }))
+            }
+            ("POST", p) => {
+                let id: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
+                match self.leases.get_mut(&id) {
+                    Some(l) => {
+                        l.1 = now + l.0;
+                        Self::answer(200, json!({ "hold": id }))
+                    }
+                    None => Self::answer(404, json!({})),
+                }
+            }
+            ("DELETE", p) => {
+                let id: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
+                self.end(id);
+                Self::answer(200, json!({}))
+            }
+            other => panic!("not in the protocol: {other:?}"),
+        }
+    }
+
+    fn multi(&mut self, m: Multi) -> Outcome {
+        for w in &m.writes {
+            if let Write::Put { hold: Some(h), .. } = w
+                && !self.leases.contains_key(h)
+            {
+                return Self::answer(400, json!({"error": "no such lease"}));
+            }
+        }
+        let failed: Vec<&str> = m
+            .when
+            .iter()
+            .filter(|c| self.keys.get(&c.path).map_or(0, |e| e.stamp) != c.stamp)
+            .map(|c| c.path.as_str())
+            .collect();
+        if !failed.is_empty() {
+            return Self::answer(409, json!({"failed": failed, "ledger": self.ledger}));
+        }
+        if !m.writes.is_empty() {
+            self.ledger += 1;
+        }
+        let stamp = self.ledger;
+        for w in m.writes {
+            match w {
+                Write::Put { put, v, hold } => {
+                    self.log.push(Event { put: Some(put.clone()), remove: None, v: v.clone(), stamp });
+                    self.keys.insert(put, Entry { value: v, stamp, lease: hold });
+                }
+                Write::Remove { remove } => {
+                    if self.keys.remove(&remove).is_some() {
+                        self.log.push(Event { put: None, remove: Some(remove), v: Value::Null, stamp });
+                    }
+                }
+            }
+        }
+        Self::answer(200, json!({"ledger": self.ledger}))
+    }
+}
