Cuts: ways round them, a leader that hears nobody steps down, silent zones are not dead

Cause: in a cut between zones the leader took every machine beyond it for dead (silent for 7.5 s) or feared cancelled tasks on it, and deleted the lot.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -234,6 +234,8 @@
     pub submitted_ms: u64,
     /// State.
     pub phase: Phase,
+    /// Time of day of the end, in milliseconds.
+    pub ended_ms: u64,
     /// Tasks recorded as done.
     pub done: TaskSet,
     /// Versions of the progress records.
@@ -279,6 +281,8 @@
     Machine(MachineId),
     /// The leader's key.
     Leader,
+    /// A message for the node of this name.
+    Mail(String),
     /// Anything else.
     Other,
 }
@@ -306,6 +310,10 @@
     pub fn progress(id: JobId, chunk: u32) -> String {
         format!("g/p/{id}/{chunk}")
     }
+    /// The mailbox of one node for another, used when no way between them is left.
+    pub fn mail(to: &str, from: &str) -> String {
+        format!("g/c/{to}/{from}")
+    }
     /// A machine.
     pub fn machine(id: &MachineId) -> String {
         format!("g/m/{id}")
@@ -374,6 +382,7 @@
                 let job = self.jobs.entry(id).or_insert_with(Job::empty);
                 let was = job.phase;
                 job.phase = if v["end"] == "done" { Phase::Done } else { Phase::Aborted };
+                job.ended_ms = v["at"].as_u64().unwrap_or(0);
                 job.done = TaskSet::default();
                 job.chunks.clear();
                 if was == Phase::Active {
@@ -403,6 +412,10 @@
                 }
                 Change::Job(id)
             }
+            "c" => match name.split_once('/') {
+                Some((to, _)) => Change::Mail(to.to_owned()),
+                None => Change::Other,
+            },
             _ => Change::Other,
         }
     }
@@ -415,6 +428,7 @@
             stamp: 0,
             submitted_ms: 0,
             phase: Phase::Active,
+            ended_ms: 0,
             done: TaskSet::default(),
             chunks: BTreeMap::new(),
             tasks: 0,
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -42,6 +42,7 @@
     /// Recorded before this term: it may hold tasks that nobody told of yet.
     unknown: bool,
     holder: Option<NodeId>,
+    last_holder: Option<NodeId>,
     baton: Baton,
     /// The holder has seen a report under `baton`: its task list is whole.
     confirmed: bool,
@@ -76,6 +77,7 @@
             recorded: false,
             unknown: false,
             holder: None,
+            last_holder: None,
             baton: Baton(0),
             confirmed: false,
             tasks: BTreeMap::new(),
@@ -316,7 +318,15 @@
 
 impl Leader {
     /// A leader of a new term: tags at zero, nothing known but the records.
-    pub fn new(ctx: Context, term: u64, stamp: u64, ledger: &Ledger, sizes: &Sizes, now: Micros) -> Self {
+    pub fn new(
+        ctx: Context,
+        term: u64,
+        stamp: u64,
+        ledger: &Ledger,
+        sizes: &Sizes,
+        now: Micros,
+        wall_ms: u64,
+    ) -> Self {
         let nodes = vec![Node::default(); ctx.zones.len()];
         let lag = ctx.list_lag;
         let mut l = Leader {
@@ -355,12 +365,16 @@
             m.unknown = true;
             l.machines.insert(id.clone(), m);
         }
-        // How long ago earlier cancellations were is not known: some of their
-        // time is taken as gone.
-        let earlier = now - l.ctx.cancel.scale(3, 10);
         for (id, job) in &ledger.jobs {
-            let at = if job.phase == Phase::Aborted { earlier } else { now };
-            l.job_changed(*id, ledger, at);
+            // An earlier cancellation counts from its time of day, with a
+            // second for the difference between the clocks. One that is long
+            // over was dealt with, or can't be helped any more.
+            let ago = Micros::millis((wall_ms + 1000).saturating_sub(job.ended_ms));
+            match job.phase {
+                Phase::Aborted if ago > l.ctx.cancel => {}
+                Phase::Aborted => drop(l.aborted.insert(*id, now - ago)),
+                _ => l.job_changed(*id, ledger, now),
+            }
         }
         info!("leading term {term}: {} machines, {} active jobs", l.machines.len(), l.jobs.len());
         l
@@ -418,6 +432,10 @@
         now: Micros,
     ) {
         let Some(node) = self.nodes.get_mut(from.0 as usize) else { return };
+        if incarnation < node.incarnation {
+            // Held up on the way since before the node's restart.
+            return;
+        }
         if incarnation != node.incarnation {
             // Another process: what the last one held or was handed is in
             // nobody's mind now. Its machines need a new grant.
@@ -426,7 +444,7 @@
             if !first {
                 info!("controller {} restarted", from.0);
                 for m in self.machines.values_mut().filter(|m| m.holder == Some(from)) {
-                    m.holder = None;
+                    m.last_holder = m.holder.take();
                     m.confirmed = false;
                 }
                 self.handouts.retain(|_, (n, _)| *n != from);
@@ -765,12 +783,11 @@
             let ids: Vec<(MachineId, Option<NodeId>, String)> =
                 self.machines.iter().map(|(i, m)| (i.clone(), m.holder, m.zone.clone())).collect();
             for (id, holder, zone) in ids {
-                if let Some(to) = self.choose_holder(&zone, holder, now) {
-                    if let Some(m) = self.machines.get_mut(&id) {
-                        m.holder = None;
-                    }
-                    self.grant(&id, to, "new term", now);
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.holder = None;
+                    m.last_holder = holder;
                 }
+                self.grant_unheld(&id, &zone, now);
             }
         }
         self.move_blocks(now);
@@ -785,17 +802,14 @@
 
     fn move_blocks(&mut self, now: Micros) {
         let mut moves: Vec<(MachineId, NodeId, &'static str)> = Vec::new();
+        let mut unheld = Vec::new();
         for (id, m) in &self.machines {
             if m.stage != Stage::Up || !m.recorded {
                 continue;
             }
             let seen = self.last_seen.get(id).filter(|(_, t)| now.since(*t) < Micros::secs(4)).map(|x| x.0);
             match m.holder {
-                None => {
-                    if let Some(to) = self.choose_holder(&m.zone, None, now) {
-                        moves.push((id.clone(), to, "no holder"));
-                    }
-                }
+                None => unheld.push((id.clone(), m.zone.clone())),
                 Some(h) => {
                     let silent = m.heard.is_none_or(|t| now.since(t) > Micros::millis(3500))
                         && now.since(m.granted_at) > Micros::millis(1500);
@@ -824,16 +838,45 @@
         for (id, to, why) in moves {
             self.grant(&id, to, why, now);
         }
+        for (id, zone) in unheld {
+            self.grant_unheld(&id, &zone, now);
+        }
+    }
+
+    /// Grants a machine without a holder: to the one that held it, to one of
+    /// its zone, or to one that its worker reports to. When none of these is
+    /// in contact, the zone may be cut off with its controller, which goes on
+    /// renewing its workers; a grant to a node beyond the cut would help nobody.
+    fn grant_unheld(&mut self, id: &MachineId, zone: &str, now: Micros) {
+        let Some(m) = self.machines.get(id) else { return };
+        let seen = self.last_seen.get(id).filter(|(_, t)| now.since(*t) < Micros::secs(4)).map(|x| x.0);
+        let last = m.last_holder.filter(|h| self.in_contact(*h, now));
+        let Some(to) = self.choose_holder(zone, last.or(seen), now) else { return };
+        let of_zone = self.ctx.zones[to.0 as usize] == zone;
+        let no_own = !self.ctx.zones.iter().any(|z| z == zone);
+        if of_zone || no_own || Some(to) == last || seen.is_some() {
+            self.grant(id, to, "no holder", now);
+        }
     }
 
     fn watch_silent(&mut self, now: Micros) {
         let limit = self.ctx.operator.silent_delete;
         let mut doomed = Vec::new();
         let mut probes = Vec::new();
-        for (id, m) in &self.machines {
-            if m.stage == Stage::Booting {
-                continue;
+        let mut visible: BTreeSet<&str> = BTreeSet::new();
+        let mut per_holder: HashMap<NodeId, (u32, u32)> = HashMap::new();
+        for m in self.machines.values().filter(|m| m.stage == Stage::Up) {
+            let fresh = m.heard.is_some_and(|t| now.since(t) < Micros::millis(3500));
+            if let Some(h) = m.holder {
+                let (held, heard) = per_holder.entry(h).or_default();
+                *held += 1;
+                *heard += fresh as u32;
+                if fresh && self.in_contact(h, now) {
+                    visible.insert(&m.zone);
+                }
             }
+        }
+        for (id, m) in &self.machines {
             if m.stage != Stage::Up {
                 continue;
             }
@@ -843,10 +886,22 @@
             if silent > Micros::millis(4000) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
                 probes.push(id.clone());
             }
-            let contact = m.holder.is_some_and(|h| self.in_contact(h, now));
-            // A holder that can't be reached may well hear its workers: a cut
-            // between zones. Its machines get much longer.
-            let limit = if contact { limit } else { Micros::secs(60) };
+            // A cut between zones looks like the death of all machines behind
+            // it. A machine is taken for dead quickly only if its zone can be
+            // heard: by the holder, if that is in the zone itself, or because
+            // another machine there was heard just now.
+            let near =
+                m.holder.is_some_and(|h| self.in_contact(h, now) && self.ctx.zones[h.0 as usize] == m.zone);
+            let (held, heard) = m.holder.and_then(|h| per_holder.get(&h)).copied().unwrap_or((0, 0));
+            let limit = if near && held >= 2 && heard == 0 {
+                // The holder hears none of its machines: it may be the one
+                // that is cut off, and the workers turn to others soon.
+                limit.scale(2, 1)
+            } else if near || visible.contains(m.zone.as_str()) {
+                limit
+            } else {
+                Micros::secs(60)
+            };
             if silent > limit && !seen {
                 doomed.push((id.clone(), silent));
             }
@@ -869,7 +924,12 @@
 
     /// A cancelled job's task that can't be stopped goes with its machine.
     fn watch_cancelled(&mut self, ledger: &Ledger, now: Micros) {
+        // Early enough for a cloud that is out of order for a while.
         let deadline = self.ctx.cancel.scale(55, 100);
+        // A new leader first hears what its controllers know.
+        if now.since(self.began) < Micros::secs(4) {
+            return;
+        }
         let mut doomed = Vec::new();
         let mut over = Vec::new();
         for (job, at) in &self.aborted {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -89,6 +89,9 @@
         /// How.
         result: CallResult,
     },
+    /// Another controller's host refused a connection: it is up, its process
+    /// is not.
+    Refused(NodeId),
     /// A message from another controller.
     Peer {
         /// Sender.
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -7,7 +7,7 @@
 use super::leader::{CloudWish, Context, HireRequest, Leader, LeaderWrite};
 use super::rate::Bucket;
 use super::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
-use crate::peer::Message;
+use crate::peer::{Message, Parcel};
 use crate::settings::{Operator, Platform, Team};
 use crate::wire::cloud::{Flavor, Flavors, Hire, Hosts, Rentals};
 use crate::wire::state::{Grant, Listing, Multi, MultiAnswer, News, When, Write};
@@ -76,6 +76,7 @@
     TakeKey { asked: Micros, lease: u64, term: u64 },
     Renew { sent: Micros },
     EndLease,
+    Mail,
     LeaderWrites(u64, Vec<LeaderWrite>),
     Cloud(u64, CloudWish),
     Flavors,
@@ -85,7 +86,9 @@
 
 struct PeerState {
     heard: Option<Micros>,
+    refused: Option<Micros>,
     state_ok: bool,
+    hears: Vec<NodeId>,
 }
 
 /// The node.
@@ -134,13 +137,18 @@
     held_checkins: BTreeMap<MachineId, (RequestId, Report, Micros)>,
     leader_known: Option<(u64, NodeId)>,
     incarnation: u64,
+    /// Another controller was heard in this term as leader.
+    had_company: bool,
+    vacant_since: Option<Micros>,
+    mail: BTreeMap<(NodeId, u8), Message>,
+    mail_at: Micros,
 }
 
 const MAX_WAITING: usize = 2000;
 
 impl Node {
     /// A node that knows nothing yet.
-    pub fn new(p: &Platform, operator: Operator, seed: u64, now: Micros) -> Self {
+    pub fn new(p: &Platform, operator: Operator, seed: u64, incarnation: u64, now: Micros) -> Self {
         let nodes = Nodes::new(p);
         let d = &p.deployment;
         let n = nodes.names.len() as f64;
@@ -190,14 +198,22 @@
             ctl: Controller::default(),
             sync_at: Micros(0),
             ping_at: Micros(0),
-            peers: nodes.names.iter().map(|_| PeerState { heard: None, state_ok: false }).collect(),
+            peers: nodes
+                .names
+                .iter()
+                .map(|_| PeerState { heard: None, refused: None, state_ok: false, hears: Vec::new() })
+                .collect(),
             flavors: Vec::new(),
             sizes: Sizes::new(),
             flavors_at: Micros(0),
             flavors_open: false,
             held_checkins: BTreeMap::new(),
             leader_known: None,
-            incarnation: seed | 2,
+            incarnation: incarnation.max(2),
+            had_company: false,
+            vacant_since: None,
+            mail: BTreeMap::new(),
+            mail_at: Micros(0),
             operator,
             nodes,
         }
@@ -214,7 +230,17 @@
                 self.held_checkins.retain(|_, (r, ..)| *r != id);
             }
             Input::Called { id, result } => self.called(id, result),
-            Input::Peer { from, incarnation, message } => self.peer(from, incarnation, message),
+            Input::Refused(n) => {
+                if let Some(p) = self.peers.get_mut(n.0 as usize) {
+                    p.refused = Some(self.now);
+                }
+            }
+            Input::Peer { from, incarnation, message } => {
+                if let Some(p) = self.peers.get_mut(from.0 as usize) {
+                    p.heard = Some(self.now);
+                }
+                self.peer(from, incarnation, message);
+            }
         }
         std::mem::take(&mut self.out.items)
     }
@@ -446,7 +472,7 @@
                     let stamp = self.ledger.jobs.get(job).map_or(0, |j| j.stamp);
                     let when =
                         vec![When { path: key.clone(), stamp: 0 }, When { path: keys::job(*job), stamp }];
-                    (when, key, json!({"end": "aborted"}))
+                    (when, key, json!({"end": "aborted", "at": self.wall_ms}))
                 }
             };
             let call = self.multi(&Multi { when, writes: vec![Write::Put { put: key, v, hold: None }] });
@@ -592,22 +618,97 @@
 
     fn send(&mut self, to: NodeId, m: Message) {
         if to == self.nodes.me {
-            self.peer(to, 1, m);
-        } else {
-            self.out.send(to, m);
+            return self.peer(to, 1, m);
+        }
+        if self.hears(to, Micros::millis(1700)) {
+            return self.out.send(to, m);
+        }
+        // A cut: another controller that hears the receiver passes it on, or,
+        // if there is none, the state service does, which no cut between
+        // controllers concerns. Whatever comes twice is dropped by its number.
+        let relay = (0..self.peers.len()).map(|i| NodeId(i as u8)).find(|r| {
+            *r != to && self.hears(*r, Micros::millis(1700)) && self.peers[r.0 as usize].hears.contains(&to)
+        });
+        match relay {
+            Some(r) => {
+                let parcel =
+                    Parcel { from: self.nodes.me, incarnation: self.incarnation, message: m.clone() };
+                self.out.send(r, Message::Forward { to, parcel: parcel.pack() });
+            }
+            None => {
+                let kind = match m {
+                    Message::Sync { .. } => 0,
+                    Message::Update { .. } => 1,
+                    _ => 2,
+                };
+                if kind < 2 {
+                    self.mail.insert((to, kind), m.clone());
+                }
+            }
         }
+        self.out.send(to, m);
     }
 
-    fn peer(&mut self, from: NodeId, incarnation: u64, m: Message) {
-        if let Some(p) = self.peers.get_mut(from.0 as usize)
-            && from != self.nodes.me
-        {
-            p.heard = Some(self.now);
+    fn hears(&self, n: NodeId, limit: Micros) -> bool {
+        self.peers.get(n.0 as usize).and_then(|p| p.heard).is_some_and(|t| self.now.since(t) < limit)
+    }
+
+    /// Posts what no other way is left for, once a second.
+    fn post(&mut self) {
+        if self.mail.is_empty() || self.now.since(self.mail_at) < Micros::millis(1000) || !self.state_ok() {
+            return;
         }
+        if !self.user_bucket.take(self.now, 1.0, 1.0) {
+            return;
+        }
+        self.mail_at = self.now;
+        let me = self.nodes.names[self.nodes.me.0 as usize].clone();
+        for ((to, _), mut message) in std::mem::take(&mut self.mail) {
+            if self.hears(to, Micros::millis(1700)) {
+                continue;
+            }
+            if let Message::Update { directory, running, .. } = &mut message {
+                directory.clear();
+                running.clear();
+            }
+            let parcel = Parcel { from: self.nodes.me, incarnation: self.incarnation, message }.pack();
+            let text: String = parcel.iter().map(|b| format!("{b:02x}")).collect();
+            if text.len() + 64 > self.value_limit {
+                debug!("message to controller {} is too long for the state service", to.0);
+                continue;
+            }
+            let put = keys::mail(&self.nodes.names[to.0 as usize], &me);
+            let m = Multi { when: Vec::new(), writes: vec![Write::Put { put, v: json!(text), hold: None }] };
+            let call = self.multi(&m);
+            self.calls.insert(call, Purpose::Mail);
+        }
+    }
+
+    fn open_mail(&mut self, v: &serde_json::Value) {
+        let Some(text) = v.as_str() else { return };
+        let bytes: Option<Vec<u8>> =
+            (0..text.len() / 2).map(|i| u8::from_str_radix(text.get(i * 2..i * 2 + 2)?, 16).ok()).collect();
+        if let Some(p) = bytes.and_then(|b| Parcel::unpack(&b)) {
+            self.peer(p.from, p.incarnation, p.message);
+        }
+    }
+
+    fn peer(&mut self, from: NodeId, incarnation: u64, m: Message) {
         match m {
-            Message::Ping { state_ok } => {
+            Message::Ping { state_ok, hears } => {
                 if let Some(p) = self.peers.get_mut(from.0 as usize) {
                     p.state_ok = state_ok;
+                    p.hears = hears;
+                }
+            }
+            Message::Forward { to, parcel } => {
+                if to != self.nodes.me {
+                    self.out.send(to, Message::Forward { to, parcel });
+                } else if let Some(p) = Parcel::unpack(&parcel).filter(|p| p.from != to) {
+                    // One hop: a parcel holds no other parcel that is passed on.
+                    if !matches!(p.message, Message::Forward { .. }) {
+                        self.peer(p.from, p.incarnation, p.message);
+                    }
                 }
             }
             Message::Sync { term, seq, machines, outcomes } => {
@@ -707,12 +808,17 @@
         self.answer_held();
         self.drive();
         self.sync(false);
+        self.post();
         if self.now.since(self.ping_at) >= Micros::millis(500) {
             self.ping_at = self.now;
             let state_ok = self.state_ok();
+            let hears: Vec<NodeId> = (0..self.peers.len())
+                .map(|i| NodeId(i as u8))
+                .filter(|n| self.hears(*n, Micros::millis(1700)))
+                .collect();
             for i in 0..self.nodes.names.len() {
                 if i != self.nodes.me.0 as usize {
-                    self.out.send(NodeId(i as u8), Message::Ping { state_ok });
+                    self.out.send(NodeId(i as u8), Message::Ping { state_ok, hears: hears.clone() });
                 }
             }
         }
@@ -761,7 +867,15 @@
                 continue;
             }
             let change = match (&e.put, &e.remove) {
-                (Some(k), _) => self.ledger.apply(k, Some(&e.v), e.stamp),
+                (Some(k), _) => match self.ledger.apply(k, Some(&e.v), e.stamp) {
+                    Change::Mail(to) => {
+                        if to == self.nodes.names[self.nodes.me.0 as usize] {
+                            self.open_mail(&e.v);
+                        }
+                        continue;
+                    }
+                    c => c,
+                },
                 (None, Some(k)) => self.ledger.apply(k, None, e.stamp),
                 _ => continue,
             };
@@ -784,9 +898,15 @@
         if !self.loaded {
             return;
         }
+        let turn = if self.ledger.leader.is_none() {
+            self.my_turn()
+        } else {
+            self.vacant_since = None;
+            false
+        };
         match self.election.role {
             Role::Follower => match &self.ledger.leader {
-                None if self.now >= self.election.not_before && !self.state_refuses() => {
+                None if self.now >= self.election.not_before && !self.state_refuses() && turn => {
                     self.election.role = Role::Candidate;
                     let life = self.operator.leader_lease.0 / 1000;
                     let body = json!({ "life_ms": life }).to_string().into_bytes();
@@ -814,6 +934,14 @@
                 {
                     return self.step_down("its key is gone");
                 }
+                if self.alone() {
+                    // Cut off from the others: one that hears more of the
+                    // cluster serves it better.
+                    self.end_lease(lease);
+                    self.step_down("it hears no other controller");
+                    self.election.not_before = self.now + Micros::secs(4);
+                    return;
+                }
                 if self.election.renewal_due(self.now) {
                     self.election.renewing = true;
                     self.election.last_sent = self.now;
@@ -826,6 +954,36 @@
         }
     }
 
+    /// Whether this node, when nobody leads, should try now: those who hear
+    /// more of the others go first.
+    fn my_turn(&mut self) -> bool {
+        let unheard = (0..self.peers.len())
+            .map(|i| NodeId(i as u8))
+            .filter(|n| *n != self.nodes.me && !self.hears(*n, Micros::millis(1700)) && !self.refuses(*n))
+            .count() as u64;
+        let since = *self.vacant_since.get_or_insert(self.now);
+        self.now.since(since) >= Micros::millis(400 * unheard)
+    }
+
+    /// Whether a controller's host is up without its process.
+    fn refuses(&self, n: NodeId) -> bool {
+        self.peers
+            .get(n.0 as usize)
+            .and_then(|p| p.refused)
+            .is_some_and(|t| self.now.since(t) < Micros::secs(2))
+    }
+
+    /// Whether this leader lost all others, and not because they ended.
+    fn alone(&mut self) -> bool {
+        let others: Vec<NodeId> =
+            (0..self.peers.len()).map(|i| NodeId(i as u8)).filter(|n| *n != self.nodes.me).collect();
+        if others.iter().any(|n| self.hears(*n, Micros::millis(3000))) {
+            self.had_company = true;
+            return false;
+        }
+        self.had_company && !others.iter().any(|n| self.refuses(*n))
+    }
+
     fn step_down(&mut self, why: &str) {
         if let Some(term) = self.election.term() {
             warn!("no longer leading term {term}: {why}");
@@ -847,7 +1005,15 @@
             if self.ledger.leader.as_ref().is_some_and(|(r, s)| *s == stamp && r.term == term) {
                 self.leader_inflight.clear();
                 self.leader_txns = 0;
-                let l = Leader::new(self.ctx.clone(), term, stamp, &self.ledger, &self.sizes, self.now);
+                let l = Leader::new(
+                    self.ctx.clone(),
+                    term,
+                    stamp,
+                    &self.ledger,
+                    &self.sizes,
+                    self.now,
+                    self.wall_ms,
+                );
                 self.leader = Some(l);
                 self.sync(true);
             }
@@ -917,7 +1083,7 @@
                     {
                         m.writes.push(Write::Remove { remove: keys::progress(*id, *c) });
                     }
-                    put(keys::end(*id), json!({"end": "done"}), &mut m)
+                    put(keys::end(*id), json!({"end": "done", "at": self.wall_ms}), &mut m)
                 }
                 LeaderWrite::Machine(id) => {
                     let Some(rec) = l.machine(id).map(|x| x.record()) else { continue };
@@ -1188,6 +1354,7 @@
                 CallResult::Answer { status: 200, body } => {
                     let stamp = serde_json::from_slice::<MultiAnswer>(body).map_or(0, |a| a.ledger);
                     self.election.won(term, lease, stamp, asked);
+                    self.had_company = false;
                     self.won = Some((term, stamp));
                     self.barrier();
                 }
@@ -1207,7 +1374,7 @@
                 }
                 _ => self.election.renewing = false,
             },
-            Purpose::EndLease => {}
+            Purpose::EndLease | Purpose::Mail => {}
             Purpose::LeaderWrites(term, w) => self.leader_written(term, w, &result),
             Purpose::Cloud(term, w) => self.cloud_called(term, w, &result),
             Purpose::Flavors => {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -124,6 +124,15 @@
     Ping {
         /// The sender reaches the state service.
         state_ok: bool,
+        /// Nodes that it hears directly.
+        hears: Vec<NodeId>,
+    },
+    /// To a node that hears the receiver: a `Parcel` to be passed on.
+    Forward {
+        /// Receiver.
+        to: NodeId,
+        /// A `Parcel`.
+        parcel: Vec<u8>,
     },
     /// A controller's whole view, to the leader.
     Sync {
@@ -193,6 +202,32 @@
     pub message: Message,
 }
 
+/// A message that takes a way round a cut: over another controller, or over
+/// the state service.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Parcel {
+    /// Sender.
+    pub from: NodeId,
+    /// Sender's process.
+    pub incarnation: u64,
+    /// Message.
+    pub message: Message,
+}
+
+impl Parcel {
+    /// As bytes, behind the version.
+    pub fn pack(&self) -> Vec<u8> {
+        let mut out = vec![VERSION];
+        out.extend(borsh::to_vec(self).unwrap_or_default());
+        out
+    }
+    /// From bytes of the same version.
+    pub fn unpack(bytes: &[u8]) -> Option<Self> {
+        let (version, rest) = bytes.split_first()?;
+        (*version == VERSION).then(|| borsh::from_slice(rest).ok())?
+    }
+}
+
 /// Why a frame was refused.
 #[derive(Debug, Error)]
 pub enum FrameError {
@@ -244,7 +279,11 @@
 
     #[test]
     fn frames_round_trip_and_bad_ones_are_refused() {
-        let e = Envelope { from: NodeId(1), incarnation: 9, message: Message::Ping { state_ok: true } };
+        let e = Envelope {
+            from: NodeId(1),
+            incarnation: 9,
+            message: Message::Ping { state_ok: true, hears: vec![NodeId(2)] },
+        };
         let f = encode(&e).unwrap();
         let head: [u8; HEAD] = f[..HEAD].try_into().unwrap();
         assert_eq!(decode_head(head).unwrap(), f.len() - HEAD);
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -112,8 +112,10 @@
         let nodes = Nodes::new(&platform);
         let started = Instant::now();
         let seed = fastrand::u64(..) >> 1;
-        let node = Node::new(&platform, operator, seed, Micros(1_000_000));
-        let incarnation = node.incarnation();
+        // Later processes have higher numbers, as far as the clock goes.
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let incarnation = (wall << 8) | (seed & 0xff);
+        let node = Node::new(&platform, operator, seed, incarnation, Micros(1_000_000));
         let sockets = platform.deployment.machine_limits.sockets;
         let mut receivers = Vec::new();
         let peers = nodes
@@ -122,7 +124,7 @@
             .map(|name| {
                 let addr = platform.peers.iter().find(|p| p.host_name == *name)?.peer_addr.clone();
                 let (tx, rx) = bounded(64);
-                receivers.push((addr, rx));
+                receivers.push((addr, name.clone(), rx));
                 Some(tx)
             })
             .collect();
@@ -137,8 +139,9 @@
             incarnation,
             me: nodes.me,
         });
-        for (addr, rx) in receivers {
-            executor.spawn(peers::dial(addr, rx)).detach();
+        for (addr, name, rx) in receivers {
+            let node = NodeId(nodes.names.iter().position(|n| *n == name).unwrap_or(0) as u8);
+            executor.spawn(peers::dial(shell.clone(), node, addr, rx)).detach();
         }
         let cluster = smol::net::TcpListener::bind(&platform.cluster_listen).await?;
         let public = smol::net::TcpListener::bind(&platform.public_addr).await?;
--- a/src/shell/peers.rs
+++ b/src/shell/peers.rs
@@ -3,6 +3,7 @@
 use super::Shell;
 use super::server::within;
 use crate::core::Input;
+use crate::core::ids::NodeId;
 use crate::peer;
 use log::{debug, warn};
 use smol::channel::Receiver;
@@ -14,12 +15,17 @@
 use std::time::Duration;
 
 /// Sends the queue's frames to a peer, for ever.
-pub async fn dial(addr: String, queue: Receiver<Vec<u8>>) {
+pub async fn dial(shell: Rc<Shell>, node: NodeId, addr: String, queue: Receiver<Vec<u8>>) {
     let Ok(sock) = addr.parse::<SocketAddr>() else { return };
     loop {
         let stream = within(Duration::from_millis(1000), TcpStream::connect(sock)).await;
         // What queued up meanwhile is out of date.
         while queue.try_recv().is_ok() {}
+        if let Some(Err(e)) = &stream
+            && e.kind() == std::io::ErrorKind::ConnectionRefused
+        {
+            shell.input(Input::Refused(node));
+        }
         if let Some(Ok(mut s)) = stream {
             let _ = s.set_nodelay(true);
             debug!("connected to {addr}");
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -862,7 +862,7 @@
             }
             Event::Restart(n) => {
                 let seed = self.rng.u64(..) >> 1;
-                let node = Node::new(&platform(n), Operator::default(), seed, Micros(now));
+                let node = Node::new(&platform(n), Operator::default(), seed, now, Micros(now));
                 self.incarnations[n] = node.incarnation();
                 self.nodes[n] = Some(node);
                 self.at(0, Event::Tick(n));
