--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -62,6 +62,9 @@
     kept_for: Option<(Rank, Micros)>,
     want_baton: bool,
     delete_sent: Option<Micros>,
+    /// CPU time that tasks took of it, in thousandths of a CPU times microseconds.
+    busy: u128,
+    born: Micros,
 }
 
 impl Machine {
@@ -96,6 +99,8 @@
             kept_for: None,
             want_baton: false,
             delete_sent: None,
+            busy: 0,
+            born: now,
         }
     }
     /// What a record of it says.
@@ -307,6 +312,7 @@
     /// Something changed: schedule.
     pub dirty: bool,
     fleet_at: Micros,
+    measured: Micros,
     listed: Micros,
     listing: bool,
     hire_count: u64,
@@ -348,6 +354,7 @@
             refused: HashMap::new(),
             dirty: true,
             fleet_at: now,
+            measured: now,
             listed: Micros(0),
             listing: false,
             hire_count: 0,
@@ -995,7 +1002,16 @@
         if m.stage == Stage::Deleting {
             return;
         }
-        info!("{id}: deleted ({} in {}{}): {why}", m.build, m.zone, if m.spot { ", spot" } else { "" });
+        let age = now.since(m.born);
+        let whole = m.size.cpu as u128 * age.0 as u128;
+        info!(
+            "{id}: deleted ({} in {}{}) after {:.0} s, {}% used: {why}",
+            m.build,
+            m.zone,
+            if m.spot { ", spot" } else { "" },
+            age.as_secs_f64(),
+            m.busy * 100 / whole.max(1)
+        );
         m.stage = Stage::Deleting;
         m.since = now;
         m.delete_sent = None;
@@ -1269,8 +1285,13 @@
             return wishes;
         }
         if now >= self.fleet_at {
+            let passed = now.since(self.measured);
+            self.measured = now;
             self.fleet_at = now + Micros::millis(400);
             self.measure();
+            for m in self.machines.values_mut() {
+                m.busy += m.used.cpu as u128 * passed.0 as u128;
+            }
             self.drain_warned(now);
             self.return_idle(flavors, now);
             if now >= self.rent_not_before {
