--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -18,6 +18,8 @@
     pub size: Resources,
     /// Price an hour.
     pub price: f64,
+    /// It was refused just now.
+    pub refused: bool,
     /// Usual boot time in seconds.
     pub boot_s: f64,
 }
@@ -109,6 +111,10 @@
             left = left.min(slots.ceil() as u32);
             slots -= left as f64;
         }
+        // Work that may run on spot machines is not worth an ordinary one: it
+        // waits for the next spot machine, or fills the room that replicas leave.
+        let spot_only = spec.kind == Kind::Array
+            && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
         while left > 0 && added < policy.max_new {
             if place(&mut rooms, &spec, &mut zones) {
                 left -= 1;
@@ -116,7 +122,8 @@
             }
             let best = offers
                 .iter()
-                .filter(|o| spec.allows(&o.build, &o.zone, o.spot, &o.size))
+                .filter(|o| !o.refused && spec.allows(&o.build, &o.zone, o.spot, &o.size))
+                .filter(|o| o.spot || !spot_only)
                 .filter(|o| zone_ok(&spec, &o.zone, &zones))
                 .map(|o| {
                     let k = o.size.count(&spec.need, 10_000).max(1);
@@ -176,7 +183,7 @@
 
     fn offer(build: &str, zone: &str, spot: bool, cpus: f64, price: f64) -> Offer {
         let size = Resources::have(cpus, 0.0, cpus * 4.0);
-        Offer { build: build.into(), zone: zone.into(), spot, size, price, boot_s: 30.0 }
+        Offer { build: build.into(), zone: zone.into(), spot, size, price, refused: false, boot_s: 30.0 }
     }
 
     fn demand(kind: &str, n: u32, cpus: f64, spot: bool, spread: bool) -> Demand {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -1528,9 +1528,7 @@
                     let price = if spot { f.spot_price } else { Some(f.hourly) };
                     let Some(price) = price else { continue };
                     let key = (f.sku.clone(), z.clone(), spot);
-                    if self.refused.get(&key).is_some_and(|t| now.since(*t) < Micros::secs(8)) {
-                        continue;
-                    }
+                    let refused = self.refused.get(&key).is_some_and(|t| now.since(*t) < Micros::secs(8));
                     if self.hires.values().any(|(r, ..)| (&r.build, &r.zone, r.spot) == (&f.sku, z, spot)) {
                         continue;
                     }
@@ -1540,6 +1538,7 @@
                         spot,
                         size,
                         price,
+                        refused,
                         boot_s: f.boot_s,
                     });
                 }
