--- a/src/core/controller.rs
+++ b/src/core/controller.rs
@@ -544,7 +544,7 @@
         if over(Some(job), h.task.index) || now >= self.lease_until {
             return None;
         }
-        let mut best: Option<((u8, (u8, u8, u64)), MachineId)> = None;
+        let mut best: Option<((u8, placement::Score), MachineId)> = None;
         for (id, w) in &self.workers {
             // Only machines granted before the hand-out: the leader bound the
             // task to those. Only recorded ones, and only once the worker has
@@ -564,6 +564,7 @@
                 size,
                 free: size.minus(w.used(ledger)),
                 image: w.images.contains(&spec.image),
+                zone_cpu: 0,
             };
             let Some(s) = placement::score(spec, &c, h.zone.as_deref()) else { continue };
             // The leader chose by the same measure and reserved room there.
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -155,6 +155,7 @@
 }
 
 fn place(rooms: &mut [Room], spec: &JobSpec, zones: &mut HashMap<String, u32>) -> bool {
+    let zone_cpu = |z: &str| rooms.iter().filter(|r| !r.spot && r.zone == z).map(|r| r.size.cpu).sum();
     let best = rooms
         .iter()
         .enumerate()
@@ -167,6 +168,7 @@
                 size: &r.size,
                 free: r.free,
                 image: true,
+                zone_cpu: if spec.kind == Kind::Service { zone_cpu(&r.zone) } else { 0 },
             };
             Some((placement::score(spec, &c, None)?, i))
         })
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -1083,6 +1083,12 @@
     }
 
     fn find(&self, run: &Run, zones: &HashMap<String, u32>, now: Micros) -> Option<MachineId> {
+        let mut zone_cpu: HashMap<&str, u64> = HashMap::new();
+        if run.spec.kind == Kind::Service {
+            for m in self.machines.values().filter(|m| !m.spot && m.stage != Stage::Deleting) {
+                *zone_cpu.entry(&m.zone).or_default() += m.size.cpu;
+            }
+        }
         self.machines
             .iter()
             .filter(|(_, m)| m.usable())
@@ -1099,6 +1105,7 @@
                     size: &m.size,
                     free: m.free(),
                     image: m.images.contains(&run.spec.image),
+                    zone_cpu: zone_cpu.get(m.zone.as_str()).copied().unwrap_or(0),
                 };
                 // A machine on which something failed comes last.
                 Some(((m.failures > 0, placement::score(&run.spec, &c, None)?), id))
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -17,11 +17,16 @@
     pub free: Resources,
     /// It has the task's image.
     pub image: bool,
+    /// Ordinary CPUs in its zone, in thousandths.
+    pub zone_cpu: u64,
 }
 
+/// Smaller is better.
+pub type Score = (u8, u64, u8, u64);
+
 /// How well a machine suits, smaller is better; `None` if it may not or can't
 /// hold the task.
-pub fn score(spec: &JobSpec, c: &Candidate<'_>, zone: Option<&str>) -> Option<(u8, u8, u64)> {
+pub fn score(spec: &JobSpec, c: &Candidate<'_>, zone: Option<&str>) -> Option<Score> {
     if !spec.allows(c.build, c.zone, c.spot, c.size) || !c.free.fits(&spec.need) {
         return None;
     }
@@ -35,8 +40,10 @@
     let left = c.free.minus(spec.need).cpu;
     let fetch = !c.image as u8;
     Some(match spec.kind {
-        Kind::Service => (fetch, kind, left),
-        Kind::Array => (kind, fetch, left),
+        // Replicas keep to the zone with the most ordinary machines: those of
+        // spread jobs need the room in the others.
+        Kind::Service => (fetch, u64::MAX - c.zone_cpu, kind, left),
+        Kind::Array => (kind, 0, fetch, left),
     })
 }
 
@@ -68,6 +75,7 @@
             size: &size,
             free: Resources::have(cpus, 0.0, 32.0),
             image,
+            zone_cpu: 0,
         };
         // (changes to the job, zone asked for, machines, the one taken)
         let cases = [
