--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -7,7 +7,7 @@
 use super::jobs::{Job, JobSpec, Kind, Ledger, MachineRecord, Phase, RANKS, Rank, TaskSet};
 use super::placement::{self, Candidate};
 use crate::peer::{GrantedMachine, HandOut, MachineState, Message, Outcome, StopRequest, TaskState};
-use crate::settings::{Operator, Team};
+use crate::settings::{Objective, Operator, Team};
 use crate::wire::cloud::{Flavor, Rental};
 use log::{info, warn};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -150,7 +150,11 @@
 struct Run {
     spec: Rc<JobSpec>,
     stamp: u64,
-    order: (u64, u64),
+    /// When it should be complete, and when its lateness can't be helped, in
+    /// milliseconds of the time of day.
+    due_ms: u64,
+    hopeless_ms: u64,
+    submitted_ms: u64,
     done: TaskSet,
     bound: BTreeMap<u32, Binding>,
     again: BTreeSet<u32>,
@@ -166,11 +170,18 @@
 }
 
 impl Run {
-    fn new(job: &Job, spec: Rc<JobSpec>) -> Self {
-        let due = spec.deadline_s.map_or(u64::MAX / 2, |d| job.submitted_ms + (d * 1000.0) as u64);
+    fn new(job: &Job, spec: Rc<JobSpec>, objectives: &[Objective]) -> Self {
+        let of_class = || objectives.iter().filter(|o| o.class == spec.class);
+        let within = of_class().filter(|o| o.kind == "finished").filter_map(|o| o.within_s).reduce(f64::max);
+        let times = of_class().filter_map(|o| o.times).fold(1.0, f64::max);
+        let due = spec.deadline_s.or(within).unwrap_or(1e9);
+        let last = spec.deadline_s.map(|d| d * times).or(within).unwrap_or(1e9) - spec.estimate_s;
+        let at = |s: f64| job.submitted_ms + (s.max(0.0) * 1000.0) as u64;
         Run {
             stamp: job.stamp,
-            order: (due, job.submitted_ms),
+            due_ms: at(due),
+            hopeless_ms: at(last),
+            submitted_ms: job.submitted_ms,
             done: job.done.clone(),
             spec,
             bound: BTreeMap::new(),
@@ -200,6 +211,13 @@
         }
         None
     }
+    /// Its place among its team's jobs: the earliest due first, behind them
+    /// those that can't be in time any more, until they have waited very long.
+    fn order(&self, wall_ms: u64) -> (bool, u64, u64) {
+        let span = self.hopeless_ms.saturating_sub(self.submitted_ms);
+        let late = wall_ms > self.hopeless_ms && wall_ms < self.hopeless_ms + 3 * span;
+        (late, self.due_ms, self.submitted_ms)
+    }
     fn waiting(&self) -> u32 {
         let bound = self.bound.keys().filter(|i| !self.done.contains(**i)).count() as u32;
         self.spec.tasks.saturating_sub(self.done.len()).saturating_sub(bound)
@@ -277,6 +295,8 @@
     pub operator: Operator,
     /// Teams.
     pub teams: Vec<Team>,
+    /// What is expected of classes of jobs.
+    pub objectives: Vec<Objective>,
     /// Workers' lease.
     pub lease: Micros,
     /// Workers' report interval.
@@ -295,6 +315,7 @@
     ctx: Context,
     epoch: u64,
     began: Micros,
+    began_ms: u64,
     /// Revision of the leader's key: jobs recorded later were never handed
     /// out by an earlier leader.
     began_stamp: u64,
@@ -340,6 +361,7 @@
             ctx,
             epoch: 0,
             began: now,
+            began_ms: wall_ms,
             began_stamp: stamp,
             granted: false,
             queues: HashMap::new(),
@@ -407,7 +429,7 @@
                 let Some(spec) = &job.spec else { return };
                 match self.jobs.get_mut(&id) {
                     None => {
-                        self.jobs.insert(id, Run::new(job, spec.clone()));
+                        self.jobs.insert(id, Run::new(job, spec.clone(), &self.ctx.objectives));
                     }
                     Some(run) => run.done.union(&job.done),
                 }
@@ -555,7 +577,10 @@
             }
             if let Some(job) = ledger.jobs.get(&task.job) {
                 // A job that is over may still be here: its tasks count.
-                let run = self.jobs.entry(task.job).or_insert_with(|| Run::new(job, spec.clone()));
+                let run = self
+                    .jobs
+                    .entry(task.job)
+                    .or_insert_with(|| Run::new(job, spec.clone(), &self.ctx.objectives));
                 run.proven |= proven;
                 let b = run.bound.entry(task.index).or_insert(Binding {
                     attempt: *attempt,
@@ -858,7 +883,10 @@
         let Some(m) = self.machines.get(id) else { return };
         let seen = self.last_seen.get(id).filter(|(_, t)| now.since(*t) < Micros::secs(4)).map(|x| x.0);
         let last = m.last_holder.filter(|h| self.in_contact(*h, now));
-        let Some(to) = self.choose_holder(zone, last.or(seen), now) else { return };
+        let own = self
+            .choose_holder(zone, last, now)
+            .filter(|n| Some(*n) == last || self.ctx.zones[n.0 as usize] == zone);
+        let Some(to) = own.or_else(|| self.choose_holder(zone, seen, now)) else { return };
         let of_zone = self.ctx.zones[to.0 as usize] == zone;
         let no_own = !self.ctx.zones.iter().any(|z| z == zone);
         if of_zone || no_own || Some(to) == last || seen.is_some() {
@@ -1114,10 +1142,16 @@
             .map(|(_, id)| id.clone())
     }
 
+    /// The time of day, as far as it can be told from the steady clock.
+    fn wall_ms(&self, now: Micros) -> u64 {
+        self.began_ms + now.since(self.began).0 / 1000
+    }
+
     fn schedule(&mut self, now: Micros) {
+        let wall_ms = self.wall_ms(now);
         self.measure();
         for rank in RANKS {
-            let mut teams: BTreeMap<String, Vec<((u64, u64), JobId)>> = BTreeMap::new();
+            let mut teams: BTreeMap<String, Vec<((bool, u64, u64), JobId)>> = BTreeMap::new();
             let ids: Vec<JobId> =
                 self.jobs.iter().filter(|(_, r)| r.spec.rank == rank && !r.over).map(|(i, _)| *i).collect();
             for id in ids {
@@ -1131,7 +1165,7 @@
                 }
                 let Some(run) = self.jobs.get(&id) else { continue };
                 if !self.blocked(run) {
-                    teams.entry(run.spec.team.clone()).or_default().push((run.order, id));
+                    teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms), id));
                 }
             }
             let mut queue = self.queues.remove(&rank).unwrap_or_default();
@@ -1583,7 +1617,8 @@
                 }
             }
         }
-        let mut list: Vec<(Rank, (u64, u64), Demand)> = Vec::new();
+        let wall_ms = self.wall_ms(now);
+        let mut list: Vec<(Rank, (bool, u64, u64), Demand)> = Vec::new();
         let mut running = 0.0;
         for r in self.jobs.values() {
             if r.spec.kind == Kind::Array {
@@ -1595,7 +1630,7 @@
             }
             list.push((
                 r.spec.rank,
-                r.order,
+                r.order(wall_ms),
                 Demand { spec: r.spec.clone(), waiting, zones: self.zones_of(r) },
             ));
         }
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -157,6 +157,7 @@
             zones: nodes.zones.clone(),
             operator: operator.clone(),
             teams: d.teams.clone(),
+            objectives: d.objectives.clone(),
             lease: Micros::from_secs_f64(d.workers.lease_s),
             report: Micros::from_secs_f64(d.workers.report_s),
             cancel: Micros::from_secs_f64(d.workers.cancel_s),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,7 +2,7 @@
 mod operator;
 mod platform;
 pub use operator::{LogFormat, Operator};
-pub use platform::{Platform, Team};
+pub use platform::{Objective, Platform, Team};
 
 use thiserror::Error;
 
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -22,6 +22,22 @@
     pub gpus_max: f64,
 }
 
+/// What is expected of a class of jobs.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// `finished`, `deadline`, `wait` and others.
+    pub kind: String,
+    /// Class of jobs.
+    #[serde(default)]
+    pub class: String,
+    /// Time allowed.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    /// Multiple of the job's deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
 /// Another controller.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Peer {
@@ -100,6 +116,9 @@
     /// Teams.
     #[serde(default)]
     pub teams: Vec<Team>,
+    /// What is expected of classes of jobs.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     /// Workers.
     pub workers: Workers,
     /// State service.
