--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -46,7 +46,7 @@
             block_size: 200,
             task_cost: 1.0,
             leader_lease: Micros::millis(3000),
-            idle_return: Micros::secs(20),
+            idle_return: Micros::secs(10),
             silent_delete: Micros::millis(7500),
             max_machines: 500,
             spare_cpus: 4.0,
