--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -164,6 +164,8 @@
     failed_on: BTreeSet<MachineId>,
     proven: bool,
     unrecorded_since: Option<Micros>,
+    /// Until then it waits for a machine with its image.
+    patience: Option<Micros>,
     /// Done or cancelled: nothing of it is started, but what is left of it on
     /// machines counts.
     over: bool,
@@ -192,6 +194,7 @@
             failed_on: BTreeSet::new(),
             proven: false,
             unrecorded_since: None,
+            patience: None,
             over: job.phase != Phase::Active,
         }
     }
@@ -1192,13 +1195,30 @@
                     }
                     let zones = self.zones_of(run);
                     match self.find(run, &zones, now) {
+                        Some(machine) if self.better_with_image(id, &machine, now) => {
+                            // Batch work that holds the room where the image
+                            // is gives way: a fetch takes seconds.
+                            let zones = zones.clone();
+                            let made = self.make_room(id, &zones, true, now);
+                            made_room += made;
+                            if let Some(run) = self.jobs.get_mut(&id) {
+                                run.patience.get_or_insert(if made > 0 {
+                                    now + Micros::millis(700)
+                                } else {
+                                    now
+                                });
+                            }
+                            self.dirty = true;
+                            list.remove(0);
+                            continue;
+                        }
                         Some(machine) => {
                             self.hand_out(TaskId { job: id, index }, machine);
                             served = true;
                         }
                         None => {
                             if rank == Rank::Production && made_room < 8 {
-                                made_room += self.make_room(id, &zones, now);
+                                made_room += self.make_room(id, &zones, false, now);
                             }
                             list.remove(0);
                             continue;
@@ -1252,14 +1272,26 @@
         }
     }
 
+    /// Whether a replica should rather wait a moment for room on a machine that
+    /// has its image.
+    fn better_with_image(&self, id: JobId, found: &MachineId, now: Micros) -> bool {
+        let Some(run) = self.jobs.get(&id) else { return false };
+        run.spec.kind == Kind::Service
+            && run.spec.rank == Rank::Production
+            && run.patience.is_none_or(|until| now < until)
+            && self.machines.get(found).is_some_and(|m| !m.images.contains(&run.spec.image))
+            && self.machines.values().any(|m| m.images.contains(&run.spec.image))
+    }
+
     /// Stops work of lower priority so that a task of `id` fits; the number
     /// of tasks stopped.
-    fn make_room(&mut self, id: JobId, zones: &HashMap<String, u32>, now: Micros) -> u32 {
+    fn make_room(&mut self, id: JobId, zones: &HashMap<String, u32>, image: bool, now: Micros) -> u32 {
         let Some(run) = self.jobs.get(&id) else { return 0 };
         let spec = run.spec.clone();
         let mut best: Option<(u64, MachineId, Vec<(TaskId, Attempt)>)> = None;
         for (mid, m) in &self.machines {
             if !m.usable()
+                || image && !m.images.contains(&spec.image)
                 || !m.holder.is_some_and(|h| self.in_contact(h, now))
                 || !spec.allows(&m.build, &m.zone, m.spot, &m.size)
                 || !fleet::zone_ok(&spec, &m.zone, zones)
