Machines behind a cut are not taken for dead the moment it ends

Silence now counts from when the zone can be heard, and what any controller heard counts. A loop of messages by a node that led before a cut is gone too.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -234,6 +234,7 @@
     sync_seq: u64,
     heard: Option<Micros>,
     since: Micros,
+    contact_since: Micros,
     update_seq: u64,
     sent: Micros,
     dirty: bool,
@@ -343,6 +344,8 @@
     rent_not_before: Micros,
     scheduled: Micros,
     probes: Vec<(NodeId, MachineId, String)>,
+    /// Zones of which machines are heard, since when.
+    visible_since: HashMap<String, Micros>,
     last_seen: HashMap<MachineId, (NodeId, Micros)>,
 }
 
@@ -388,6 +391,7 @@
             rent_not_before: if term == 1 { now } else { now + lag },
             scheduled: Micros(0),
             probes: Vec::new(),
+            visible_since: HashMap::new(),
             last_seen: HashMap::new(),
         };
         for (id, rec) in &ledger.machines {
@@ -487,6 +491,9 @@
         }
         let Some(node) = self.nodes.get_mut(from.0 as usize) else { return };
         node.sync_seq = seq;
+        if node.heard.is_none_or(|t| now.since(t) > Micros::millis(2500)) {
+            node.contact_since = now;
+        }
         node.heard = Some(now);
         for o in outcomes {
             self.outcome(from, incarnation, o);
@@ -529,14 +536,16 @@
             }
             return;
         }
-        if m.holder != Some(from) || m.baton != s.baton {
-            return;
-        }
+        // That it was heard is true under any token: a holder back from a cut
+        // has not seen its newest grant, and its machines are not dead.
         let heard = s.heard_ago.map(|ago| now - ago);
         if heard > m.heard {
             m.heard = heard;
             m.probed = None;
         }
+        if m.holder != Some(from) || m.baton != s.baton {
+            return;
+        }
         m.warning = s.warning.map(|w| now + w);
         m.want_baton = s.want_baton;
         let confirmed = s.seen_baton >= m.baton;
@@ -901,7 +910,7 @@
         let limit = self.ctx.operator.silent_delete;
         let mut doomed = Vec::new();
         let mut probes = Vec::new();
-        let mut visible: BTreeSet<&str> = BTreeSet::new();
+        let mut visible: BTreeSet<String> = BTreeSet::new();
         let mut per_holder: HashMap<NodeId, (u32, u32)> = HashMap::new();
         for m in self.machines.values().filter(|m| m.stage == Stage::Up) {
             let fresh = m.heard.is_some_and(|t| now.since(t) < Micros::millis(3500));
@@ -910,15 +919,24 @@
                 *held += 1;
                 *heard += fresh as u32;
                 if fresh && self.in_contact(h, now) {
-                    visible.insert(&m.zone);
+                    visible.insert(m.zone.clone());
                 }
             }
         }
+        // The first machine heard again after a cut shows its zone; the others
+        // get their time from then on.
+        self.visible_since.retain(|z, _| visible.contains(z));
+        for z in visible {
+            self.visible_since.entry(z).or_insert(now);
+        }
         for (id, m) in &self.machines {
             if m.stage != Stage::Up {
                 continue;
             }
-            let base = m.heard.unwrap_or(m.since).max(self.began);
+            // A holder that was out of contact first gets to say what it heard.
+            let contact = m.holder.map_or(Micros(0), |h| self.nodes[h.0 as usize].contact_since);
+            let spoke = (contact + Micros::secs(3)) - self.ctx.operator.silent_delete;
+            let base = m.heard.unwrap_or(m.since).max(self.began).max(spoke);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
             if silent > Micros::millis(4000) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
@@ -935,8 +953,10 @@
                 // The holder hears none of its machines: it may be the one
                 // that is cut off, and the workers turn to others soon.
                 limit.scale(2, 1)
-            } else if near || visible.contains(m.zone.as_str()) {
+            } else if near {
                 limit
+            } else if let Some(since) = self.visible_since.get(&m.zone) {
+                limit.max(silent - now.since(*since) + limit)
             } else {
                 Micros::secs(60)
             };
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -140,6 +140,8 @@
     /// Another controller was heard in this term as leader.
     had_company: bool,
     vacant_since: Option<Micros>,
+    /// A lease of this node that was ended, or runs out by itself.
+    ended_lease: Option<u64>,
     mail: BTreeMap<(NodeId, u8), Message>,
     mail_at: Micros,
 }
@@ -213,6 +215,7 @@
             incarnation: incarnation.max(2),
             had_company: false,
             vacant_since: None,
+            ended_lease: None,
             mail: BTreeMap::new(),
             mail_at: Micros(0),
             operator,
@@ -916,13 +919,13 @@
                 }
                 Some((rec, _))
                     if rec.node == self.nodes.names[self.nodes.me.0 as usize]
-                        && self.now >= self.election.not_before =>
+                        && self.ended_lease != Some(rec.lease) =>
                 {
                     // An earlier process of this node led; its lease need not
                     // run out first.
                     info!("ending the lease of this node's earlier process");
                     let path = format!("/grants/{}", rec.lease);
-                    self.election.not_before = self.now + Micros::millis(500);
+                    self.ended_lease = Some(rec.lease);
                     let id = self.state("DELETE", path, Vec::new(), Micros::millis(1000));
                     self.calls.insert(id, Purpose::EndLease);
                 }
@@ -986,7 +989,8 @@
     }
 
     fn step_down(&mut self, why: &str) {
-        if let Some(term) = self.election.term() {
+        if let Role::Leader { term, lease, .. } = self.election.role {
+            self.ended_lease = Some(lease);
             warn!("no longer leading term {term}: {why}");
         }
         let pause = Micros::millis(200 + self.rng.u64(0..400));
