--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -939,7 +939,7 @@
             let base = m.heard.unwrap_or(m.since).max(self.began).max(spoke);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
-            if silent > Micros::millis(4000) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
+            if silent > Micros::millis(3200) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
                 probes.push(id.clone());
             }
             // A cut between zones looks like the death of all machines behind
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -47,7 +47,7 @@
             task_cost: 1.0,
             leader_lease: Micros::millis(3000),
             idle_return: Micros::secs(10),
-            silent_delete: Micros::millis(7500),
+            silent_delete: Micros::millis(5500),
             max_machines: 500,
             spare_cpus: 4.0,
             log_format: LogFormat::Plain,
