Guarantees: served first, and other teams' borrowed room is taken back

Also: room is made for all waiting replicas of a job at once and not again in each pass, which stopped more batch work than needed.

--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -16,7 +16,7 @@
 use crate::settings::{Objective, Operator, Team};
 use crate::wire::cloud::{Flavor, Rental};
 use log::{info, warn};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// Where a machine is in its life.
@@ -170,6 +170,8 @@
     failed_on: BTreeSet<MachineId>,
     proven: bool,
     unrecorded_since: Option<Micros>,
+    /// Work was stopped for it; until then no more is.
+    room_until: Micros,
     /// Until then it waits for a machine with its image.
     patience: Option<Micros>,
     /// Done or cancelled: nothing of it is started, but what is left of it on
@@ -200,6 +202,7 @@
             failed_on: BTreeSet::new(),
             proven: false,
             unrecorded_since: None,
+            room_until: Micros(0),
             patience: None,
             over: job.phase != Phase::Active,
         }
--- a/src/core/leader/schedule.rs
+++ b/src/core/leader/schedule.rs
@@ -101,93 +101,138 @@
         self.began_ms + now.since(self.began).0 / 1000
     }
 
+    /// Hands out what can be: first what fits into the teams' guarantees, then
+    /// by priority, and within it by the smallest eligible start tag.
     pub(super) fn schedule(&mut self, now: Micros) {
-        let wall_ms = self.wall_ms(now);
         self.measure();
+        if self.ctx.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0) {
+            for rank in RANKS {
+                self.serve_rank(rank, true, now);
+            }
+        }
         for rank in RANKS {
-            let mut teams: BTreeMap<String, Vec<((bool, u64, u64), JobId)>> = BTreeMap::new();
-            let ids: Vec<JobId> =
-                self.jobs.iter().filter(|(_, r)| r.spec.rank == rank && !r.over).map(|(i, _)| *i).collect();
-            for id in ids {
-                let Some(run) = self.jobs.get_mut(&id) else { continue };
-                if run.retry_at > now {
-                    self.dirty = true;
-                    continue;
-                }
-                if run.peek().is_none() {
-                    continue;
+            self.serve_rank(rank, false, now);
+        }
+    }
+
+    /// The jobs of a priority that have a task to start, by team, in order.
+    fn waiting_jobs(&mut self, rank: Rank, now: Micros) -> BTreeMap<String, VecDeque<JobId>> {
+        let wall_ms = self.wall_ms(now);
+        let mut teams: BTreeMap<String, Vec<((bool, u64, u64), JobId)>> = BTreeMap::new();
+        let ids: Vec<JobId> =
+            self.jobs.iter().filter(|(_, r)| r.spec.rank == rank && !r.over).map(|(i, _)| *i).collect();
+        for id in ids {
+            let Some(run) = self.jobs.get_mut(&id) else { continue };
+            if run.retry_at > now {
+                self.dirty = true;
+                continue;
+            }
+            if run.peek().is_none() {
+                continue;
+            }
+            let Some(run) = self.jobs.get(&id) else { continue };
+            if !self.blocked(run) {
+                teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms), id));
+            }
+        }
+        let sorted = |mut v: Vec<_>| {
+            v.sort();
+            v.into_iter().map(|(_, id)| id).collect()
+        };
+        teams.into_iter().map(|(t, v)| (t, sorted(v))).collect()
+    }
+
+    fn serve_rank(&mut self, rank: Rank, guaranteed: bool, now: Micros) {
+        let mut teams = self.waiting_jobs(rank, now);
+        let mut queue = self.queues.remove(&rank).unwrap_or_default();
+        let cost = self.ctx.operator.task_cost;
+        for t in &self.ctx.teams {
+            let w = self.ctx.operator.team_weights.get(&t.name).copied().unwrap_or(1.0);
+            queue.set_waiting(&t.name, teams.contains_key(&t.name), cost, w);
+        }
+        let mut stuck: BTreeSet<String> = BTreeSet::new();
+        while let Some((_, team)) = queue.order().into_iter().find(|(_, t)| !stuck.contains(t)) {
+            let Some(list) = teams.get_mut(&team) else { break };
+            let mut served = false;
+            while let Some(id) = list.front().copied() {
+                if self.serve_job(id, guaranteed, now) {
+                    served = true;
+                    break;
                 }
-                let Some(run) = self.jobs.get(&id) else { continue };
-                if !self.blocked(run) {
-                    teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms), id));
+                list.pop_front();
+            }
+            if served {
+                queue.serve(&team);
+            } else {
+                stuck.insert(team);
+            }
+        }
+        self.queues.insert(rank, queue);
+    }
+
+    /// Hands out one task of a job; false if none can be now.
+    fn serve_job(&mut self, id: JobId, guaranteed: bool, now: Micros) -> bool {
+        let Some(index) = self.jobs.get_mut(&id).and_then(Run::peek) else { return false };
+        let Some(run) = self.jobs.get(&id) else { return false };
+        if self.over_limit(&run.spec) || guaranteed && !self.within_guarantee(&run.spec) {
+            return false;
+        }
+        let may_preempt = (guaranteed || run.spec.rank == Rank::Production) && now >= run.room_until;
+        let zones = self.zones_of(run);
+        match self.find(run, &zones, now) {
+            Some(machine) if self.better_with_image(id, &machine, now) => {
+                // Batch work that holds the room where the image is gives way:
+                // a fetch takes seconds.
+                let made = may_preempt && self.make_room(id, &zones, true, guaranteed, now).is_some();
+                if let Some(run) = self.jobs.get_mut(&id) {
+                    run.patience.get_or_insert(if made { now + Micros::millis(700) } else { now });
                 }
+                self.dirty = true;
+                false
             }
-            let mut queue = self.queues.remove(&rank).unwrap_or_default();
-            for t in &self.ctx.teams {
-                let w = self.ctx.operator.team_weights.get(&t.name).copied().unwrap_or(1.0);
-                queue.set_waiting(&t.name, teams.contains_key(&t.name), self.ctx.operator.task_cost, w);
+            Some(machine) => {
+                self.hand_out(TaskId { job: id, index }, machine);
+                true
             }
-            teams.values_mut().for_each(|v| v.sort());
-            let mut stuck: BTreeSet<String> = BTreeSet::new();
-            let mut made_room: u32 = 0;
-            // The smallest eligible start tag goes next.
-            while let Some((_, team)) = queue.order().into_iter().find(|(_, t)| !stuck.contains(t)) {
-                let Some(list) = teams.get_mut(&team) else { break };
-                let mut served = false;
-                while let Some((_, id)) = list.first().copied() {
-                    let Some(index) = self.jobs.get_mut(&id).and_then(Run::peek) else {
-                        list.remove(0);
-                        continue;
+            None if may_preempt => {
+                // Room for all that waits at once; what was stopped needs a
+                // moment to go, and stopping more meanwhile would be waste.
+                let (mut zones, mut left) = (zones, run.waiting());
+                while left > 0 {
+                    let Some((zone, room)) = self.make_room(id, &zones, false, guaranteed, now) else {
+                        break;
                     };
-                    let Some(run) = self.jobs.get(&id) else { break };
-                    if self.over_limit(&run.spec) {
-                        list.remove(0);
-                        continue;
-                    }
-                    let zones = self.zones_of(run);
-                    match self.find(run, &zones, now) {
-                        Some(machine) if self.better_with_image(id, &machine, now) => {
-                            // Batch work that holds the room where the image
-                            // is gives way: a fetch takes seconds.
-                            let zones = zones.clone();
-                            let made = self.make_room(id, &zones, true, now);
-                            made_room += made;
-                            if let Some(run) = self.jobs.get_mut(&id) {
-                                run.patience.get_or_insert(if made > 0 {
-                                    now + Micros::millis(700)
-                                } else {
-                                    now
-                                });
-                            }
-                            self.dirty = true;
-                            list.remove(0);
-                            continue;
-                        }
-                        Some(machine) => {
-                            self.hand_out(TaskId { job: id, index }, machine);
-                            served = true;
-                        }
-                        None => {
-                            if rank == Rank::Production && made_room < 8 {
-                                made_room += self.make_room(id, &zones, false, now);
-                            }
-                            list.remove(0);
-                            continue;
-                        }
-                    }
-                    break;
+                    *zones.entry(zone).or_default() += room.min(left);
+                    left -= room.min(left);
                 }
-                if served {
-                    queue.serve(&team);
-                } else {
-                    queue.set_waiting(&team, false, self.ctx.operator.task_cost, 1.0);
-                    stuck.insert(team);
+                if let Some(run) = self.jobs.get_mut(&id) {
+                    run.room_until = now + Micros::millis(800);
                 }
+                false
             }
-            self.queues.insert(rank, queue);
+            None => false,
         }
     }
 
+    /// Whether one more such task fits into its team's guarantee.
+    fn within_guarantee(&self, spec: &JobSpec) -> bool {
+        let Some(team) = self.ctx.teams.iter().find(|t| t.name == spec.team) else { return false };
+        let (c, g) = self.team_use(&spec.team);
+        let own = Resources::have(team.cpus, team.gpus, 0.0);
+        (c + spec.need.cpu <= own.cpu || spec.need.cpu == 0)
+            && (g + spec.need.gpu <= own.gpu || spec.need.gpu == 0)
+    }
+
+    /// Teams that use more than their guarantee, and by how much.
+    fn borrowed(&self) -> HashMap<String, (u64, u64)> {
+        let teams = self.ctx.teams.iter().map(|t| {
+            let (c, g) = self.team_use(&t.name);
+            let own = Resources::have(t.cpus, t.gpus, 0.0);
+            (t.name.clone(), (c.saturating_sub(own.cpu), g.saturating_sub(own.gpu)))
+        });
+        teams.filter(|(_, b)| *b != (0, 0)).collect()
+    }
+
     pub(super) fn hand_out(&mut self, task: TaskId, hint: MachineId) {
         let attempt = Attempt(self.draw());
         let Some(m) = self.machines.get(&hint) else { return };
@@ -234,18 +279,20 @@
             && self.machines.values().any(|m| m.images.contains(&run.spec.image))
     }
 
-    /// Stops work of lower priority so that a task of `id` fits; the number
-    /// of tasks stopped.
-    pub(super) fn make_room(
+    /// Stops work so that a task of `id` fits on some machine: work of lower
+    /// priority, or, for a team within its guarantee, what others borrowed.
+    /// The zone, and how many such tasks fit there then.
+    fn make_room(
         &mut self,
         id: JobId,
         zones: &HashMap<String, u32>,
         image: bool,
+        guaranteed: bool,
         now: Micros,
-    ) -> u32 {
-        let Some(run) = self.jobs.get(&id) else { return 0 };
-        let spec = run.spec.clone();
-        let mut best: Option<(u64, MachineId, Vec<(TaskId, Attempt)>)> = None;
+    ) -> Option<(String, u32)> {
+        let spec = self.jobs.get(&id)?.spec.clone();
+        let borrowed = if guaranteed { self.borrowed() } else { HashMap::new() };
+        let mut best: Option<(u64, MachineId, Vec<(TaskId, Attempt)>, u32)> = None;
         for (mid, m) in &self.machines {
             if !m.usable()
                 || image && !m.images.contains(&spec.image)
@@ -256,44 +303,52 @@
             {
                 continue;
             }
-            let mut victims: Vec<(u64, TaskId, Attempt, Resources)> = m
+            let mut lendable = borrowed.clone();
+            let mut victims: Vec<(u64, TaskId, Attempt)> = m
                 .tasks
                 .iter()
-                .filter_map(|(t, (a, s))| {
-                    let r = self.jobs.get(&t.job)?;
-                    let ran = m.started.get(t).map_or(0, |x| now.since(*x).0);
-                    (r.spec.rank < spec.rank && *s != TaskState::Starting).then_some((
-                        ran,
-                        *t,
-                        *a,
-                        r.spec.need,
-                    ))
-                })
+                .filter(|(_, (_, s))| *s != TaskState::Starting)
+                .map(|(t, (a, _))| (m.started.get(t).map_or(0, |x| now.since(*x).0), *t, *a))
                 .collect();
-            victims.sort_by_key(|v| (v.0, v.1));
+            // The least work lost: the last ones started.
+            victims.sort();
             let mut free = m.free();
             let (mut lost, mut chosen) = (0, Vec::new());
-            for (ran, t, a, need) in victims {
+            for (ran, t, a) in victims {
                 if free.fits(&spec.need) {
                     break;
                 }
-                free = free.plus(need);
+                let Some(r) = self.jobs.get(&t.job) else { continue };
+                let lower = r.spec.rank < spec.rank;
+                let lent = r.spec.team != spec.team
+                    && lendable
+                        .get(&r.spec.team)
+                        .is_some_and(|(c, g)| r.spec.need.cpu <= *c && r.spec.need.gpu <= *g);
+                if !lower && !lent {
+                    continue;
+                }
+                if let Some((c, g)) = lendable.get_mut(&r.spec.team) {
+                    *c = c.saturating_sub(r.spec.need.cpu);
+                    *g = g.saturating_sub(r.spec.need.gpu);
+                }
+                free = free.plus(r.spec.need);
                 lost += ran + 1;
                 chosen.push((t, a));
             }
-            if free.fits(&spec.need) && best.as_ref().is_none_or(|(l, ..)| lost < *l) {
-                best = Some((lost, mid.clone(), chosen));
+            let room = free.count(&spec.need, 1000) as u32;
+            if room > 0 && !chosen.is_empty() && best.as_ref().is_none_or(|(l, ..)| lost < *l) {
+                best = Some((lost, mid.clone(), chosen, room));
             }
         }
-        let Some((_, mid, chosen)) = best else { return 0 };
+        let (_, mid, chosen, room) = best?;
         for (task, attempt) in &chosen {
             info!("{task}: stopped on {mid} to make room for {id}");
             self.stop(*task, *attempt, &mid, Micros(0), now);
         }
-        if let Some(m) = self.machines.get_mut(&mid) {
-            m.kept_for = Some((spec.rank, now + Micros::secs(2)));
-        }
-        chosen.len() as u32
+        let m = self.machines.get_mut(&mid)?;
+        m.kept_for = Some((spec.rank, now + Micros::secs(2)));
+        let here = zones.get(&m.zone).copied().unwrap_or(0);
+        Some((m.zone.clone(), room.min(spec.zone_cap().saturating_sub(here)).max(1)))
     }
 
     pub(super) fn stop(
