--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -300,7 +300,7 @@
                 }
             }
         }
-        let wall_ms = self.wall_ms(now);
+        let (wall_ms, slots) = (self.wall_ms(now), self.array_slots());
         let mut list: Vec<(Rank, (bool, u64, u64), Demand)> = Vec::new();
         let mut running = 0.0;
         for r in self.jobs.values() {
@@ -313,7 +313,7 @@
             }
             list.push((
                 r.spec.rank,
-                r.order(wall_ms),
+                r.order(wall_ms, slots),
                 Demand { spec: r.spec.clone(), waiting, zones: self.zones_of(r) },
             ));
         }
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -159,7 +159,7 @@
     /// When it should be complete, and when its lateness can't be helped, in
     /// milliseconds of the time of day.
     due_ms: u64,
-    hopeless_ms: u64,
+    last_ms: u64,
     submitted_ms: u64,
     done: TaskSet,
     bound: BTreeMap<u32, Binding>,
@@ -185,12 +185,12 @@
         let within = of_class().filter(|o| o.kind == "finished").filter_map(|o| o.within_s).reduce(f64::max);
         let times = of_class().filter_map(|o| o.times).fold(1.0, f64::max);
         let due = spec.deadline_s.or(within).unwrap_or(1e9);
-        let last = spec.deadline_s.map(|d| d * times).or(within).unwrap_or(1e9) - spec.estimate_s;
+        let last = spec.deadline_s.map(|d| d * times).or(within).unwrap_or(1e9);
         let at = |s: f64| job.submitted_ms + (s.max(0.0) * 1000.0) as u64;
         Run {
             stamp: job.stamp,
             due_ms: at(due),
-            hopeless_ms: at(last),
+            last_ms: at(last),
             submitted_ms: job.submitted_ms,
             done: job.done.clone(),
             spec,
@@ -225,9 +225,12 @@
     }
     /// Its place among its team's jobs: the earliest due first, behind them
     /// those that can't be in time any more, until they have waited very long.
-    fn order(&self, wall_ms: u64) -> (bool, u64, u64) {
-        let span = self.hopeless_ms.saturating_sub(self.submitted_ms);
-        let late = wall_ms > self.hopeless_ms && wall_ms < self.hopeless_ms + 3 * span;
+    /// `slots` is how many such tasks run at a time.
+    fn order(&self, wall_ms: u64, slots: u64) -> (bool, u64, u64) {
+        let span = self.last_ms.saturating_sub(self.submitted_ms);
+        let waves = 1.0 + self.waiting() as f64 / slots.max(1) as f64;
+        let end = wall_ms + (self.spec.estimate_s * waves * 1000.0) as u64;
+        let late = end > self.last_ms && wall_ms < self.last_ms + 3 * span;
         (late, self.due_ms, self.submitted_ms)
     }
     fn waiting(&self) -> u32 {
--- a/src/core/leader/schedule.rs
+++ b/src/core/leader/schedule.rs
@@ -115,9 +115,15 @@
         }
     }
 
+    /// Array tasks that are on machines or on their way.
+    pub(super) fn array_slots(&self) -> u64 {
+        self.jobs.values().filter(|r| r.spec.kind == Kind::Array).map(|r| r.bound.len() as u64).sum()
+    }
+
     /// The jobs of a priority that have a task to start, by team, in order.
     fn waiting_jobs(&mut self, rank: Rank, now: Micros) -> BTreeMap<String, VecDeque<JobId>> {
         let wall_ms = self.wall_ms(now);
+        let slots = self.array_slots();
         let mut teams: BTreeMap<String, Vec<((bool, u64, u64), JobId)>> = BTreeMap::new();
         let ids: Vec<JobId> =
             self.jobs.iter().filter(|(_, r)| r.spec.rank == rank && !r.over).map(|(i, _)| *i).collect();
@@ -132,7 +138,7 @@
             }
             let Some(run) = self.jobs.get(&id) else { continue };
             if !self.blocked(run) {
-                teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms), id));
+                teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms, slots), id));
             }
         }
         let sorted = |mut v: Vec<_>| {
