--- a/src/core/controller.rs
+++ b/src/core/controller.rs
@@ -360,8 +360,11 @@
         let mut calls = Vec::new();
         for id in ids {
             let Some(w) = self.workers.get(&id) else { continue };
-            if w.shift == 0 {
-                if w.announce {
+            // A worker that waits for a controller that ended doesn't report for
+            // seconds, though it is well: it is asked.
+            let quiet = w.heard.is_some_and(|t| now.since(t) > Micros::millis(2800));
+            if w.shift == 0 || quiet {
+                if w.announce || quiet {
                     let call = out.call(Call {
                         target: Target::Worker(w.addr.clone()),
                         method: "GET",
@@ -413,6 +416,9 @@
             return;
         }
         let Some(d) = w.direct.take() else { return };
+        if let CallResult::Answer { status, .. } = result {
+            debug!("{id}: direct call answered {status}, {} starts", d.runs.len());
+        }
         let fate = match result {
             CallResult::Answer { status: 200 | 400 | 409, .. } | CallResult::NotSent => Sending::Settled,
             _ => Sending::Uncertain,
--- a/src/core/leader/blocks.rs
+++ b/src/core/leader/blocks.rs
@@ -205,7 +205,14 @@
             }
         }
         for (id, silent) in doomed {
-            self.delete(&id, &format!("silent for {:.1} s", silent.as_secs_f64()), now);
+            let holder = self.machines.get(&id).and_then(|m| m.holder);
+            let contact = holder.is_some_and(|h| self.in_contact(h, now));
+            let by = match holder {
+                Some(h) if contact => format!("controller {}, which is in contact", h.0),
+                Some(h) => format!("controller {}, which is out of contact", h.0),
+                None => "nobody".into(),
+            };
+            self.delete(&id, &format!("silent for {:.1} s, held by {by}", silent.as_secs_f64()), now);
         }
     }
 
