--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -5,6 +5,8 @@
 mod machines;
 mod records;
 mod schedule;
+#[cfg(test)]
+mod tests;
 
 use crate::core::controller::Sizes;
 use crate::core::fair_queue::FairQueue;
--- /dev/null
+++ b/src/core/leader/tests.rs
@@ -0,0 +1,278 @@
+//! Bindings: what frees a task, and what doesn't.
+use super::*;
+use crate::core::jobs::{job_value, keys};
+use crate::peer::Held;
+use serde_json::json;
+
+const TERM: u64 = 3;
+const A: NodeId = NodeId(0);
+const B: NodeId = NodeId(1);
+
+fn context() -> Context {
+    let team = |name: &str, cpus: f64, max: f64| Team {
+        name: name.into(),
+        cpus,
+        cpus_max: max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Context {
+        me: A,
+        zones: vec!["east".into(), "east".into()],
+        operator: Operator::default(),
+        teams: vec![team("t", 0.0, 0.0), team("tight", 0.0, 4.0), team("owner", 4.0, 0.0)],
+        objectives: Vec::new(),
+        lease: Micros::secs(12),
+        report: Micros::secs(2),
+        cancel: Micros::secs(30),
+        list_lag: Micros::secs(5),
+    }
+}
+
+fn m(id: &str) -> MachineId {
+    MachineId(id.into())
+}
+
+fn task(job: u64, index: u32) -> TaskId {
+    TaskId { job: JobId(job), index }
+}
+
+/// A leader over recorded machines `m0` (and `m1`), with both controllers in contact.
+struct Bench {
+    ledger: Ledger,
+    leader: Leader,
+    now: Micros,
+    seq: [u64; 2],
+    incarnation: [u64; 2],
+}
+
+impl Bench {
+    fn new(machines: usize) -> Self {
+        let mut ledger = Ledger::default();
+        for i in 0..machines {
+            let v = json!({"t": "big", "z": "east", "s": false, "a": format!("addr{i}")});
+            ledger.apply(&keys::machine(&m(&format!("m{i}"))), Some(&v), 1);
+        }
+        let sizes = Sizes::from([("big".into(), Resources::have(8.0, 0.0, 32.0))]);
+        let now = Micros::secs(100);
+        let leader = Leader::new(context(), TERM, 50, &ledger, &sizes, now, 1_000_000);
+        let mut b = Bench { ledger, leader, now, seq: [0; 2], incarnation: [5, 6] };
+        b.sync(A, &[], &[]);
+        b.sync(B, &[], &[]);
+        b.tick(1);
+        b
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    /// Adds a job; recorded at `stamp` (the leader's key is at 50).
+    fn job(&mut self, id: u64, stamp: u64, team: &str, kind: &str, rank: &str, tasks: u32, cpus: f64) {
+        let body = json!({"ref": JobId(id).to_string(), "lot": "l", "crew": team, "manner": kind, "rank": rank,
+            "pieces": tasks, "cpus": cpus, "gpus": 0, "memory_gb": 1, "bundle": "i", "image_gb": 1,
+            "same_place": false, "apart": false, "loaners": false, "guess_s": 10, "mark_s": 0, "stow_s": 0});
+        let spec = crate::wire::users::parse_submission(body.to_string().as_bytes()).unwrap();
+        self.ledger.apply(&keys::job(JobId(id)), Some(&job_value(&spec, 1_000_000)), stamp);
+        self.leader.job_changed(JobId(id), &self.ledger, self.now);
+    }
+
+    fn tick(&mut self, ms: u64) {
+        self.now = self.now + Micros::millis(ms);
+        self.leader.dirty = true;
+        self.leader.tick(&self.ledger, self.now);
+    }
+
+    fn sync(&mut self, from: NodeId, machines: &[MachineState], outcomes: &[Outcome]) {
+        let i = from.0 as usize;
+        self.seq[i] += 1;
+        self.leader.sync(from, self.incarnation[i], self.seq[i], machines, outcomes, &self.ledger, self.now);
+    }
+
+    fn state(&self, id: &str, seen: Baton, tasks: &[(TaskId, Attempt, TaskState)]) -> MachineState {
+        MachineState {
+            id: m(id),
+            baton: self.leader.machines[&m(id)].baton,
+            seen_baton: seen,
+            shift: 1,
+            heard_ago: Some(Micros(0)),
+            warning: None,
+            want_baton: false,
+            tasks: tasks.iter().map(|(t, a, s)| Held { task: *t, attempt: *a, state: *s }).collect(),
+        }
+    }
+
+    fn token(&self, id: &str) -> Baton {
+        self.leader.machines[&m(id)].baton
+    }
+
+    /// The holder has seen the machine under its token, with these tasks.
+    fn confirm(&mut self, id: &str, tasks: &[(TaskId, Attempt, TaskState)]) {
+        let s = self.state(id, self.token(id), tasks);
+        let holder = self.leader.machines[&m(id)].holder.unwrap();
+        self.sync(holder, &[s], &[]);
+    }
+
+    fn attempt(&self, t: TaskId) -> Option<Attempt> {
+        self.leader.jobs.get(&t.job)?.bound.get(&t.index).map(|b| b.attempt)
+    }
+}
+
+#[test]
+fn a_task_is_free_only_on_proof() {
+    let t = task(1, 0);
+    type Step = fn(&mut Bench, Attempt);
+    // (what happens after the hand-out of the only task, whether it is free then)
+    let cases: [(&str, Step, bool); 11] = [
+        ("nothing", |_, _| {}, false),
+        ("never started", |b, a| b.sync(A, &[], &[Outcome { attempt: a, machine: None }]), true),
+        (
+            "started; a report under the current token is without it",
+            |b, a| {
+                b.sync(A, &[], &[Outcome { attempt: a, machine: Some(m("m0")) }]);
+                b.confirm("m0", &[]);
+            },
+            true,
+        ),
+        (
+            "started and not settled",
+            |b, a| {
+                b.sync(A, &[], &[Outcome { attempt: a, machine: Some(m("m0")) }]);
+                b.confirm("m0", &[(task(1, 0), a, TaskState::Starting)]);
+            },
+            false,
+        ),
+        (
+            "a report under an older token is without it",
+            |b, a| {
+                b.sync(A, &[], &[Outcome { attempt: a, machine: Some(m("m0")) }]);
+                b.leader.grant(&m("m0"), A, "test", b.now);
+                let s = b.state("m0", Baton(0), &[]);
+                b.sync(A, &[s], &[]);
+            },
+            false,
+        ),
+        (
+            "its controller restarts",
+            |b, _| {
+                b.incarnation[0] += 1;
+                b.sync(A, &[], &[]);
+            },
+            false,
+        ),
+        (
+            "its controller restarts and the machine is seen under the next token",
+            |b, _| {
+                b.incarnation[0] += 1;
+                b.sync(A, &[], &[]);
+                b.tick(1);
+                b.confirm("m0", &[]);
+            },
+            true,
+        ),
+        (
+            "its controller restarts and the machine has it",
+            |b, a| {
+                b.incarnation[0] += 1;
+                b.sync(A, &[], &[]);
+                b.tick(1);
+                b.confirm("m0", &[(task(1, 0), a, TaskState::Running)]);
+            },
+            false,
+        ),
+        ("its machine is deleted", |b, _| b.leader.deleted(&[m("m0")], b.now), true),
+        (
+            "a deletion that nobody confirmed",
+            |b, _| {
+                b.leader.delete(&m("m0"), "test", b.now);
+                b.leader.delete_failed(&[m("m0")], b.now);
+            },
+            false,
+        ),
+        (
+            "a word of its controller's earlier process",
+            |b, a| {
+                b.incarnation[0] += 1;
+                b.sync(A, &[], &[]);
+                b.leader.sync(A, 5, 99, &[], &[Outcome { attempt: a, machine: None }], &b.ledger, b.now);
+            },
+            false,
+        ),
+    ];
+    for (what, step, free) in cases {
+        let mut b = Bench::new(1);
+        b.confirm("m0", &[]);
+        b.job(1, 60, "t", "array", "standard", 1, 4.0);
+        b.tick(30);
+        let a = b.attempt(t).expect("handed out");
+        step(&mut b, a);
+        assert_eq!(b.attempt(t).is_none(), free, "{what}");
+    }
+}
+
+#[test]
+fn earlier_jobs_wait_for_machines_that_nobody_heard() {
+    // (revision of the job's record, its CPUs, whether m0 was heard, handed out)
+    let cases = [
+        (40, 4.0, false, false),
+        (40, 4.0, true, true),
+        // Recorded after the leader's key: no earlier leader knew it.
+        (60, 4.0, false, true),
+        // No unheard machine could hold it; none at all can.
+        (40, 9.0, false, false),
+    ];
+    for (stamp, cpus, heard, want) in cases {
+        let mut b = Bench::new(2);
+        b.confirm("m1", &[]);
+        if heard {
+            b.confirm("m0", &[]);
+        }
+        b.job(1, stamp, "t", "array", "standard", 1, cpus);
+        b.tick(30);
+        assert_eq!(b.attempt(task(1, 0)).is_some(), want, "{stamp} {cpus} {heard}");
+    }
+}
+
+#[test]
+fn limits_count_what_is_bound_and_guarantees_take_back() {
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    b.job(1, 60, "tight", "array", "standard", 3, 2.0);
+    b.tick(30);
+    let bound = |b: &Bench| b.leader.jobs[&JobId(1)].bound.len();
+    assert_eq!(bound(&b), 2, "4 CPUs of 2 each");
+    let a0 = b.attempt(task(1, 0)).unwrap();
+    b.sync(A, &[], &[Outcome { attempt: a0, machine: None }]);
+    b.tick(30);
+    assert_eq!(bound(&b), 2, "one is free again, another goes");
+
+    // A team without work beyond its guarantee gets it back from a borrower.
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    b.job(1, 60, "t", "array", "high", 2, 4.0);
+    b.tick(30);
+    let on: Vec<_> =
+        (0..2).map(|i| (task(1, i), b.attempt(task(1, i)).unwrap(), TaskState::Running)).collect();
+    let outcomes: Vec<Outcome> =
+        on.iter().map(|(_, a, _)| Outcome { attempt: *a, machine: Some(m("m0")) }).collect();
+    let s = b.state("m0", b.token("m0"), &on);
+    b.sync(A, &[s], &outcomes);
+    b.job(2, 61, "owner", "array", "idle", 2, 4.0);
+    b.tick(30);
+    assert_eq!(b.leader.stops.len(), 1, "4 CPUs are guaranteed, not 8");
+    b.tick(30);
+    assert_eq!(b.leader.stops.len(), 1, "no more is stopped while the first goes");
+}
+
+#[test]
+fn a_cancelled_task_that_nobody_can_stop_takes_its_machine_along() {
+    for (seconds, deleted) in [(10, false), (17, true)] {
+        let mut b = Bench::new(1);
+        b.confirm("m0", &[]);
+        b.job(1, 60, "t", "standing", "prod", 1, 4.0);
+        b.tick(30);
+        assert!(b.attempt(task(1, 0)).is_some());
+        b.ledger.apply(&keys::end(JobId(1)), Some(&json!({"end": "aborted", "at": 1_000_000})), 70);
+        b.leader.job_changed(JobId(1), &b.ledger, b.now);
+        b.now = b.now + Micros::secs(seconds);
+        b.leader.stop_cancelled(&b.ledger, b.now);
+        assert_eq!(b.leader.machines[&m("m0")].stage == Stage::Deleting, deleted, "{seconds} s");
+    }
+}
