--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -46,6 +46,9 @@
     pub spec: Rc<JobSpec>,
     /// Tasks that wait.
     pub waiting: u32,
+    /// Nothing of it runs, and it has waited for long: what others run on
+    /// doesn't help it.
+    pub starving: bool,
     /// The job's tasks on machines, by zone.
     pub zones: HashMap<String, u32>,
 }
@@ -82,7 +85,7 @@
     let mut wants = BTreeMap::new();
     let mut added = 0;
     // Tasks that find room on what is there or booting.
-    let mut unmet: Vec<(Rc<JobSpec>, u32, HashMap<String, u32>)> = Vec::new();
+    let mut unmet: Vec<(Rc<JobSpec>, u32, HashMap<String, u32>, bool)> = Vec::new();
     let mut placed_arrays = 0.0;
     for d in demands {
         let mut zones = d.zones.clone();
@@ -92,7 +95,7 @@
             placed_arrays += (d.spec.kind == Kind::Array) as u32 as f64;
         }
         if left > 0 {
-            unmet.push((d.spec.clone(), left, zones));
+            unmet.push((d.spec.clone(), left, zones, d.starving && left == d.waiting));
         }
     }
     // Arrays share what is there: rent only what the backlog needs to be
@@ -100,15 +103,15 @@
     let work: f64 = unmet
         .iter()
         .filter(|(s, ..)| s.kind == Kind::Array)
-        .map(|(s, n, _)| *n as f64 * s.estimate_s.max(1.0))
+        .map(|(s, n, ..)| *n as f64 * s.estimate_s.max(1.0))
         .sum();
     let mut slots = (work / policy.drain_s).ceil() - policy.running_arrays - placed_arrays;
-    for (spec, mut left, mut zones) in unmet {
+    for (spec, mut left, mut zones, starving) in unmet {
         if spec.kind == Kind::Array {
-            if slots <= 0.0 {
+            if slots <= 0.0 && !starving {
                 continue;
             }
-            left = left.min(slots.ceil() as u32);
+            left = left.min(slots.ceil().max(1.0) as u32);
             slots -= left as f64;
         }
         // Work that may run on spot machines is not worth an ordinary one: it
@@ -194,7 +197,7 @@
             "image_gb":1,"same_place":false,"apart":spread,"loaners":spot,"guess_s":30,
             "mark_s":0,"stow_s":0});
         let spec = crate::wire::users::parse_submission(v.to_string().as_bytes()).unwrap();
-        Demand { spec: Rc::new(spec), waiting: n, zones: HashMap::new() }
+        Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: HashMap::new() }
     }
 
     #[test]
@@ -235,6 +238,18 @@
         }
     }
 
+    #[test]
+    fn a_job_that_nothing_there_fits_is_not_left_waiting() {
+        let offers = [offer("small", "a", false, 4.0, 0.16)];
+        let policy = Policy { drain_s: 30.0, running_arrays: 100.0, max_new: 50 };
+        for (starving, machines) in [(false, 0), (true, 1)] {
+            let mut d = demand("array", 3, 4.0, false, false);
+            d.starving = starving;
+            let got = plan(Vec::new(), &[d], &offers, &policy);
+            assert_eq!(got.values().sum::<u32>(), machines, "{starving}");
+        }
+    }
+
     #[test]
     fn booting_room_counts() {
         let o = [offer("small", "a", true, 4.0, 0.04)];
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -311,10 +311,11 @@
             if waiting == 0 || r.over || self.blocked(r) || r.failures > 5 && !r.proven {
                 continue;
             }
+            let starving = r.bound.is_empty() && wall_ms > r.submitted_ms + 20_000;
             list.push((
                 r.spec.rank,
                 r.order(wall_ms, slots),
-                Demand { spec: r.spec.clone(), waiting, zones: self.zones_of(r) },
+                Demand { spec: r.spec.clone(), waiting, starving, zones: self.zones_of(r) },
             ));
         }
         list.sort_by_key(|(rank, order, d)| (std::cmp::Reverse(*rank), *order, d.spec.id));
