--- a/src/core/controller.rs
+++ b/src/core/controller.rs
@@ -7,7 +7,7 @@
 use crate::peer::{GrantedMachine, HandOut, Held, MachineState, Outcome, StopRequest, TaskState};
 use crate::wire::workers::{Direct, Order, Report};
 use log::{debug, info, warn};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What is known of the sendings of a start by `/do`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -193,13 +193,13 @@
     /// Something changed that the leader should hear.
     pub dirty: bool,
     /// Who holds which machine.
-    pub directory: HashMap<MachineId, NodeId>,
+    pub directory: BTreeMap<MachineId, NodeId>,
     /// Running tasks, as the leader last said.
-    pub running: HashMap<JobId, u32>,
+    pub running: BTreeMap<JobId, u32>,
 }
 
 /// Sizes of machine types by name.
-pub type Sizes = HashMap<String, Resources>;
+pub type Sizes = BTreeMap<String, Resources>;
 
 /// Reads the tasks of a report; `None` if the report makes no sense.
 pub fn read_tasks(r: &Report) -> Option<Vec<Held>> {
--- a/src/core/fair_queue.rs
+++ b/src/core/fair_queue.rs
@@ -4,7 +4,7 @@
 //! finish tag; its finish tag is the start tag plus cost / weight; the virtual
 //! time is the last served start tag. Only the head task of a team needs a
 //! tag: a task behind it starts at the finish tag of the one before.
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// Virtual time, in millionths of a cost unit at weight one.
 pub type Tag = u64;
@@ -24,7 +24,7 @@
 #[derive(Debug, Default, Clone)]
 pub struct FairQueue {
     virtual_time: Tag,
-    teams: HashMap<String, Team>,
+    teams: BTreeMap<String, Team>,
 }
 
 impl FairQueue {
@@ -45,7 +45,7 @@
     }
 
     /// The waiting teams, smallest start tag first; ties go by name, so that
-    /// the order never depends on a hash.
+    /// the order never depends on chance.
     pub fn order(&self) -> Vec<(Tag, String)> {
         let mut v: Vec<(Tag, String)> =
             self.teams.iter().filter_map(|(n, t)| t.head.map(|h| (h, n.clone()))).collect();
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -2,7 +2,7 @@
 use super::ids::Resources;
 use super::jobs::{JobSpec, Kind};
 use super::placement::{self, Candidate};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A machine that can be had.
@@ -50,7 +50,7 @@
     /// doesn't help it.
     pub starving: bool,
     /// The job's tasks on machines, by zone.
-    pub zones: HashMap<String, u32>,
+    pub zones: BTreeMap<String, u32>,
 }
 
 /// Machines to rent.
@@ -85,7 +85,7 @@
     let mut wants = BTreeMap::new();
     let mut added = 0;
     // Tasks that find room on what is there or booting.
-    let mut unmet: Vec<(Rc<JobSpec>, u32, HashMap<String, u32>, bool)> = Vec::new();
+    let mut unmet: Vec<(Rc<JobSpec>, u32, BTreeMap<String, u32>, bool)> = Vec::new();
     let mut placed_arrays = 0.0;
     for d in demands {
         let mut zones = d.zones.clone();
@@ -151,13 +151,13 @@
 }
 
 /// Whether another task of the job may go to `zone`.
-pub fn zone_ok(spec: &JobSpec, zone: &str, zones: &HashMap<String, u32>) -> bool {
+pub fn zone_ok(spec: &JobSpec, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
     let here = zones.get(zone).copied().unwrap_or(0);
     let elsewhere = zones.iter().any(|(z, n)| z != zone && *n > 0);
     !(spec.one_zone && elsewhere) && here < spec.zone_cap()
 }
 
-fn place(rooms: &mut [Room], spec: &JobSpec, zones: &mut HashMap<String, u32>) -> bool {
+fn place(rooms: &mut [Room], spec: &JobSpec, zones: &mut BTreeMap<String, u32>) -> bool {
     let zone_cpu = |z: &str| rooms.iter().filter(|r| !r.spot && r.zone == z).map(|r| r.size.cpu).sum();
     let best = rooms
         .iter()
@@ -197,7 +197,7 @@
             "image_gb":1,"same_place":false,"apart":spread,"loaners":spot,"guess_s":30,
             "mark_s":0,"stow_s":0});
         let spec = crate::wire::users::parse_submission(v.to_string().as_bytes()).unwrap();
-        Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: HashMap::new() }
+        Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: BTreeMap::new() }
     }
 
     #[test]
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -2,7 +2,7 @@
 use super::ids::{JobId, MachineId, Resources};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 /// What a job's tasks do.
@@ -329,7 +329,7 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     /// Jobs.
-    pub jobs: HashMap<JobId, Job>,
+    pub jobs: BTreeMap<JobId, Job>,
     /// Machines.
     pub machines: BTreeMap<MachineId, MachineRecord>,
     /// The leader's key and its version.
--- a/src/core/leader/blocks.rs
+++ b/src/core/leader/blocks.rs
@@ -140,7 +140,7 @@
         let mut doomed = Vec::new();
         let mut probes = Vec::new();
         let mut visible: BTreeSet<String> = BTreeSet::new();
-        let mut per_holder: HashMap<NodeId, (u32, u32)> = HashMap::new();
+        let mut per_holder: BTreeMap<NodeId, (u32, u32)> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.stage == Stage::Up) {
             let fresh = m.heard.is_some_and(|t| now.since(t) < Micros::millis(3500));
             if let Some(h) = m.holder {
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -195,7 +195,7 @@
         let mut back = Vec::new();
         let waiting = self.jobs.values().any(|r| !r.over && r.waiting() > 0);
         // Room for replicas that come, by zone: ordinary machines only.
-        let mut spare: HashMap<String, u64> = HashMap::new();
+        let mut spare: BTreeMap<String, u64> = BTreeMap::new();
         for m in self.machines.values().filter(|m| !m.spot && m.usable()) {
             *spare.entry(m.zone.clone()).or_default() += m.free().cpu;
         }
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -18,7 +18,7 @@
 use crate::settings::{Objective, Operator, Team};
 use crate::wire::cloud::{Flavor, Rental};
 use log::{info, warn};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// Where a machine is in its life.
@@ -55,8 +55,8 @@
     /// The holder has seen a report under `baton`: its task list is whole.
     confirmed: bool,
     tasks: BTreeMap<TaskId, (Attempt, TaskState)>,
-    started: HashMap<TaskId, Micros>,
-    reserved: HashMap<Attempt, Resources>,
+    started: BTreeMap<TaskId, Micros>,
+    reserved: BTreeMap<Attempt, Resources>,
     used: Resources,
     heard: Option<Micros>,
     granted_at: Micros,
@@ -92,8 +92,8 @@
             baton: Baton(0),
             confirmed: false,
             tasks: BTreeMap::new(),
-            started: HashMap::new(),
-            reserved: HashMap::new(),
+            started: BTreeMap::new(),
+            reserved: BTreeMap::new(),
             used: Resources::default(),
             heard: None,
             granted_at: now,
@@ -338,16 +338,16 @@
     /// out by an earlier leader.
     began_stamp: u64,
     granted: bool,
-    queues: HashMap<Rank, FairQueue>,
+    queues: BTreeMap<Rank, FairQueue>,
     nodes: Vec<Node>,
     machines: BTreeMap<MachineId, Machine>,
     gone: BTreeMap<MachineId, Micros>,
-    jobs: HashMap<JobId, Run>,
-    aborted: HashMap<JobId, Micros>,
+    jobs: BTreeMap<JobId, Run>,
+    aborted: BTreeMap<JobId, Micros>,
     handouts: BTreeMap<Attempt, (NodeId, HandOut)>,
-    stops: HashMap<(TaskId, Attempt), (StopRequest, Micros)>,
+    stops: BTreeMap<(TaskId, Attempt), (StopRequest, Micros)>,
     hires: BTreeMap<String, (HireRequest, HireStage, Micros)>,
-    refused: HashMap<(String, String, bool), Micros>,
+    refused: BTreeMap<(String, String, bool), Micros>,
     /// Something changed: schedule.
     pub dirty: bool,
     fleet_at: Micros,
@@ -359,8 +359,8 @@
     scheduled: Micros,
     probes: Vec<(NodeId, MachineId, String)>,
     /// Zones of which machines are heard, since when.
-    visible_since: HashMap<String, Micros>,
-    last_seen: HashMap<MachineId, (NodeId, Micros)>,
+    visible_since: BTreeMap<String, Micros>,
+    last_seen: BTreeMap<MachineId, (NodeId, Micros)>,
 }
 
 impl Leader {
@@ -384,16 +384,16 @@
             began_ms: wall_ms,
             began_stamp: stamp,
             granted: false,
-            queues: HashMap::new(),
+            queues: BTreeMap::new(),
             nodes,
             machines: BTreeMap::new(),
             gone: BTreeMap::new(),
-            jobs: HashMap::new(),
-            aborted: HashMap::new(),
+            jobs: BTreeMap::new(),
+            aborted: BTreeMap::new(),
             handouts: BTreeMap::new(),
-            stops: HashMap::new(),
+            stops: BTreeMap::new(),
             hires: BTreeMap::new(),
-            refused: HashMap::new(),
+            refused: BTreeMap::new(),
             dirty: true,
             fleet_at: now,
             measured: now,
@@ -405,8 +405,8 @@
             rent_not_before: if term == 1 { now } else { now + lag },
             scheduled: Micros(0),
             probes: Vec::new(),
-            visible_since: HashMap::new(),
-            last_seen: HashMap::new(),
+            visible_since: BTreeMap::new(),
+            last_seen: BTreeMap::new(),
         };
         for (id, rec) in &ledger.machines {
             let size = sizes.get(&rec.build).copied().unwrap_or_default();
--- a/src/core/leader/schedule.rs
+++ b/src/core/leader/schedule.rs
@@ -46,8 +46,8 @@
                 .any(|m| m.unknown && run.spec.allows(&m.build, &m.zone, m.spot, &m.size))
     }
 
-    pub(super) fn zones_of(&self, run: &Run) -> HashMap<String, u32> {
-        let mut zones: HashMap<String, u32> = HashMap::new();
+    pub(super) fn zones_of(&self, run: &Run) -> BTreeMap<String, u32> {
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
         if !run.spec.spread && !run.spec.one_zone {
             return zones;
         }
@@ -64,8 +64,8 @@
         zones
     }
 
-    pub(super) fn find(&self, run: &Run, zones: &HashMap<String, u32>, now: Micros) -> Option<MachineId> {
-        let mut zone_cpu: HashMap<&str, u64> = HashMap::new();
+    pub(super) fn find(&self, run: &Run, zones: &BTreeMap<String, u32>, now: Micros) -> Option<MachineId> {
+        let mut zone_cpu: BTreeMap<&str, u64> = BTreeMap::new();
         if run.spec.kind == Kind::Service {
             for m in self.machines.values().filter(|m| !m.spot && m.stage != Stage::Deleting) {
                 *zone_cpu.entry(&m.zone).or_default() += m.size.cpu;
@@ -230,7 +230,7 @@
     }
 
     /// Teams that use more than their guarantee, and by how much.
-    fn borrowed(&self) -> HashMap<String, (u64, u64)> {
+    fn borrowed(&self) -> BTreeMap<String, (u64, u64)> {
         let teams = self.ctx.teams.iter().map(|t| {
             let (c, g) = self.team_use(&t.name);
             let own = Resources::have(t.cpus, t.gpus, 0.0);
@@ -291,13 +291,13 @@
     fn make_room(
         &mut self,
         id: JobId,
-        zones: &HashMap<String, u32>,
+        zones: &BTreeMap<String, u32>,
         image: bool,
         guaranteed: bool,
         now: Micros,
     ) -> Option<(String, u32)> {
         let spec = self.jobs.get(&id)?.spec.clone();
-        let borrowed = if guaranteed { self.borrowed() } else { HashMap::new() };
+        let borrowed = if guaranteed { self.borrowed() } else { BTreeMap::new() };
         let mut best: Option<(u64, MachineId, Vec<(TaskId, Attempt)>, u32)> = None;
         for (mid, m) in &self.machines {
             if !m.usable()
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -20,7 +20,7 @@
 use crate::wire::workers::{CheckinAnswer, Report};
 use log::{debug, error, info, warn};
 use serde_json::json;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Who is who.
 #[derive(Debug, Clone)]
@@ -108,7 +108,7 @@
     wall_ms: u64,
     rng: fastrand::Rng,
     out: Outbox,
-    calls: HashMap<CallId, Purpose>,
+    calls: BTreeMap<CallId, Purpose>,
     ledger: Ledger,
     listed: bool,
     loaded: bool,
@@ -128,7 +128,7 @@
     election: Election,
     won: Option<(u64, u64)>,
     leader: Option<Leader>,
-    leader_inflight: HashSet<LeaderWrite>,
+    leader_inflight: BTreeSet<LeaderWrite>,
     leader_txns: usize,
     leader_retry_at: Micros,
     ctl: Controller,
@@ -180,7 +180,7 @@
             wall_ms: 0,
             rng: fastrand::Rng::with_seed(seed),
             out: Outbox::default(),
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             ledger: Ledger::default(),
             listed: false,
             loaded: false,
@@ -200,7 +200,7 @@
             election: Election::new(operator.leader_lease),
             won: None,
             leader: None,
-            leader_inflight: HashSet::new(),
+            leader_inflight: BTreeSet::new(),
             leader_txns: 0,
             leader_retry_at: Micros(0),
             ctl: Controller::default(),
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use state::{Outcome, State};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap};
 use worker::{Facts, Machine, Stage};
 
 const S: u64 = 1_000_000;
@@ -106,7 +106,7 @@
     now: u64,
     rng: fastrand::Rng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
-    events: HashMap<u64, Event>,
+    events: BTreeMap<u64, Event>,
     next: u64,
     nodes: Vec<Option<Node>>,
     incarnations: Vec<u64>,
@@ -114,9 +114,9 @@
     refused_until: Vec<u64>,
     watches: Vec<Watch>,
     machines: BTreeMap<String, Machine>,
-    hires: HashMap<String, Vec<String>>,
+    hires: BTreeMap<String, Vec<String>>,
     history: Vec<(u64, Vec<Rental>)>,
-    born: HashMap<String, u64>,
+    born: BTreeMap<String, u64>,
     next_machine: u64,
     cloud_down_until: u64,
     late_boots_until: u64,
@@ -124,7 +124,7 @@
     zones_cut_until: u64,
     node_cut_until: Vec<u64>,
     jobs: Vec<Job>,
-    asked: HashMap<RequestId, Asker>,
+    asked: BTreeMap<RequestId, Asker>,
     next_request: u64,
     broken: Vec<String>,
     started: usize,
@@ -138,7 +138,7 @@
             now: S,
             rng: fastrand::Rng::with_seed(seed),
             queue: BinaryHeap::new(),
-            events: HashMap::new(),
+            events: BTreeMap::new(),
             next: 0,
             nodes: Vec::new(),
             incarnations: vec![0; NODES],
@@ -146,16 +146,16 @@
             refused_until: vec![0; NODES],
             watches: Vec::new(),
             machines: BTreeMap::new(),
-            hires: HashMap::new(),
+            hires: BTreeMap::new(),
             history: Vec::new(),
-            born: HashMap::new(),
+            born: BTreeMap::new(),
             next_machine: 0,
             cloud_down_until: 0,
             late_boots_until: 0,
             zones_cut_until: 0,
             node_cut_until: vec![0; NODES],
             jobs: Vec::new(),
-            asked: HashMap::new(),
+            asked: BTreeMap::new(),
             next_request: 1,
             broken: Vec::new(),
             started: 0,
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the state service, written from the protocol.
 use gorseshore::wire::state::{Event, Listing, Multi, News, Pair, Write};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 struct Entry {
     value: Value,
@@ -14,7 +14,7 @@
 pub struct State {
     ledger: u64,
     keys: BTreeMap<String, Entry>,
-    leases: HashMap<u64, (u64, u64)>,
+    leases: BTreeMap<u64, (u64, u64)>,
     next_lease: u64,
     log: Vec<Event>,
     /// 503 to everybody.
@@ -27,7 +27,7 @@
     Wait { prefix: String, from: u64, until: u64 },
 }
 
-fn query(path: &str) -> HashMap<&str, &str> {
+fn query(path: &str) -> BTreeMap<&str, &str> {
     let q = path.split_once('?').map_or("", |x| x.1);
     q.split('&').filter_map(|kv| kv.split_once('=')).collect()
 }
