--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -311,7 +311,7 @@
             if waiting == 0 || r.over || self.blocked(r) || r.failures > 5 && !r.proven {
                 continue;
             }
-            let starving = r.bound.is_empty() && wall_ms > r.submitted_ms + 20_000;
+            let starving = r.bound.is_empty() && wall_ms > r.submitted_ms + 90_000;
             list.push((
                 r.spec.rank,
                 r.order(wall_ms, slots),
