--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -20,7 +20,7 @@
     pub team_weights: HashMap<String, f64>,
     /// Block lease.
     pub block_lease: Micros,
-    /// Most machines in a block.
+    /// Most machines in a block; unbounded unless an operator says otherwise.
     pub block_size: usize,
     /// Cost of a task.
     pub task_cost: f64,
@@ -30,7 +30,7 @@
     pub idle_return: Micros,
     /// Silence after which a machine is deleted.
     pub silent_delete: Micros,
-    /// Most machines.
+    /// Most machines; unbounded unless an operator says otherwise.
     pub max_machines: usize,
     /// Spare room for replicas, in CPUs.
     pub spare_cpus: f64,
@@ -43,12 +43,12 @@
         Operator {
             team_weights: HashMap::new(),
             block_lease: Micros::secs(20),
-            block_size: 200,
+            block_size: usize::MAX,
             task_cost: 1.0,
             leader_lease: Micros::millis(3000),
             idle_return: Micros::secs(10),
             silent_delete: Micros::millis(5500),
-            max_machines: 500,
+            max_machines: usize::MAX,
             spare_cpus: 4.0,
             log_format: LogFormat::Plain,
         }
