--- a/src/core/controller.rs
+++ b/src/core/controller.rs
@@ -1,10 +1,10 @@
 //! A controller's own part: the machines of its block, what it started on
 //! them, and what it tells the leader.
 use super::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, Resources, TaskId};
-use super::jobs::{Job, Ledger, Phase};
+use super::jobs::{Job, JobSpec, Ledger, Phase};
 use super::placement::{self, Candidate};
 use super::{Call, CallId, CallResult, Outbox, Target};
-use crate::peer::{GrantedMachine, HandOut, Held, MachineState, Outcome, StopRequest, TaskState};
+use crate::peer::{GrantedMachine, HandOut, Held, MachineState, Message, Outcome, StopRequest, TaskState};
 use crate::wire::workers::{Direct, Order, Report};
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,6 +67,9 @@
     announce: bool,
     not_before: Micros,
     images: BTreeSet<String>,
+    /// The `Sync` that first tells of the last change, and of the last report.
+    changed: u64,
+    reported: u64,
 }
 
 impl Worker {
@@ -88,6 +91,8 @@
             announce: true,
             not_before: Micros(0),
             images: BTreeSet::new(),
+            changed: 0,
+            reported: 0,
         }
     }
 
@@ -145,6 +150,11 @@
         true
     }
 
+    /// What a report can change that the leader has to hear at once.
+    fn outline(&self) -> (u64, Baton, bool, Vec<Held>, usize) {
+        (self.shift, self.seen_baton, self.warning.is_some(), self.tasks.clone(), self.starts.len())
+    }
+
     fn used(&self, ledger: &Ledger) -> Resources {
         let mut used = Resources::default();
         for t in self.tasks.iter().filter(|t| !t.state.exited()) {
@@ -190,14 +200,23 @@
     sync_seq: u64,
     sync_sent: BTreeMap<u64, Micros>,
     acked: u64,
+    /// The `Sync` of this term that the leader has taken; the next one tells
+    /// what changed since.
+    base: u64,
     /// Something changed that the leader should hear.
     pub dirty: bool,
+    /// Workers that something may have to be sent to.
+    touched: BTreeSet<MachineId>,
+    swept: Micros,
     /// Who holds which machine.
     pub directory: BTreeMap<MachineId, NodeId>,
     /// Running tasks, as the leader last said.
     pub running: BTreeMap<JobId, u32>,
 }
 
+/// How often all workers are looked at.
+const SWEEP: Micros = Micros::millis(200);
+
 /// Sizes of machine types by name.
 pub type Sizes = BTreeMap<String, Resources>;
 
@@ -249,7 +268,7 @@
 
     /// A check-in.
     pub fn checkin(&mut self, r: &Report, tasks: Vec<Held>, ledger: &Ledger, now: Micros) -> CheckinReply {
-        let id = MachineId(r.host.clone());
+        let id = MachineId::from(&*r.host);
         let Some(w) = self.workers.get_mut(&id) else {
             return CheckinReply::Elsewhere(self.directory.get(&id).copied());
         };
@@ -257,15 +276,21 @@
             // Somebody holds it under a higher token: this node's word is void.
             info!("{id}: lost to a higher token {}", r.baton);
             self.workers.remove(&id);
-            self.dirty = true;
             let to = self.directory.remove(&id);
             return CheckinReply::Elsewhere(to);
         }
+        let before = w.outline();
         if !w.take(r, tasks, true, now) {
             // A late report: its sender is gone, and its tasks are old.
             return CheckinReply::Orders(w.baton, Vec::new());
         }
-        self.dirty = true;
+        // A report that says nothing new waits for the next `Sync` that is due.
+        w.reported = self.sync_seq + 1;
+        let news = w.outline() != before;
+        self.touched.insert(id.clone());
+        if news {
+            self.touch(&id);
+        }
         let may_start = now < self.lease_until;
         let orders = self.orders(&id, ledger, true, may_start);
         let w = &self.workers[&id];
@@ -332,34 +357,66 @@
         out
     }
 
-    /// Drops starts that nobody wants and that can't have arrived.
-    fn drop_unwanted(&mut self, ledger: &Ledger) {
-        for w in self.workers.values_mut() {
-            let present: BTreeSet<(TaskId, Attempt)> = w.tasks.iter().map(|t| (t.task, t.attempt)).collect();
-            let before = w.starts.len();
-            let stops = &w.stops;
-            w.starts.retain(|k, s| {
-                let unwanted = over(ledger.jobs.get(&k.0.job), k.0.index) || stops.contains_key(k);
-                let open = s.sending != Sending::Settled || s.in_answer_to.is_some();
-                !unwanted || s.seen || present.contains(k) || open
-            });
-            self.dirty |= before != w.starts.len();
+    /// Something about a machine changed: the leader should hear, and its
+    /// worker may have to.
+    fn touch(&mut self, id: &MachineId) {
+        if let Some(w) = self.workers.get_mut(id) {
+            w.changed = self.sync_seq + 1;
+            w.reported = w.changed;
+            self.touched.insert(id.clone());
+            self.dirty = true;
         }
     }
 
-    /// Sends what is due to the workers, one call at a time to each.
-    pub fn drive(&mut self, ledger: &Ledger, now: Micros, out: &mut Outbox) -> Vec<(CallId, MachineId)> {
-        self.drop_unwanted(ledger);
-        let may_start = now < self.lease_until;
-        let ids: Vec<MachineId> = self
+    /// A job ended, or tasks of it were recorded as done: what is here of those
+    /// is to be stopped or cleared.
+    pub fn job_changed(&mut self, id: JobId, job: &Job) {
+        let is_over = |t: &TaskId| t.job == id && over(Some(job), t.index);
+        let concerned: Vec<MachineId> = self
             .workers
             .iter()
-            .filter(|(_, w)| w.direct.is_none() && !w.addr.is_empty() && now >= w.not_before)
+            .filter(|(_, w)| {
+                w.tasks.iter().any(|t| !t.state.exited() && is_over(&t.task))
+                    || w.starts.keys().any(|(t, _)| is_over(t))
+            })
             .map(|(id, _)| id.clone())
             .collect();
+        concerned.iter().for_each(|id| self.touch(id));
+    }
+
+    /// Drops starts that nobody wants and that can't have arrived.
+    fn drop_unwanted(&mut self, id: &MachineId, ledger: &Ledger) {
+        let Some(w) = self.workers.get_mut(id) else { return };
+        let before = w.starts.len();
+        let (stops, tasks) = (&w.stops, &w.tasks);
+        w.starts.retain(|k, s| {
+            let open = s.seen || s.sending != Sending::Settled || s.in_answer_to.is_some();
+            open || tasks.iter().any(|t| (t.task, t.attempt) == *k)
+                || !(over(ledger.jobs.get(&k.0.job), k.0.index) || stops.contains_key(k))
+        });
+        if before != w.starts.len() {
+            self.touch(id);
+        }
+    }
+
+    /// Sends what is due to the workers, one call at a time to each.
+    pub fn drive(&mut self, ledger: &Ledger, now: Micros, out: &mut Outbox) -> Vec<(CallId, MachineId)> {
+        let may_start = now < self.lease_until;
+        // All are looked at now and then, for what time alone changes.
+        let ids: Vec<MachineId> = if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.touched.clear();
+            self.workers.keys().cloned().collect()
+        } else {
+            std::mem::take(&mut self.touched).into_iter().collect()
+        };
         let mut calls = Vec::new();
         for id in ids {
+            self.drop_unwanted(&id, ledger);
             let Some(w) = self.workers.get(&id) else { continue };
+            if w.direct.is_some() || w.addr.is_empty() || now < w.not_before {
+                continue;
+            }
             // A worker that waits for a controller that ended doesn't report for
             // seconds, though it is well: it is asked.
             let quiet = w.heard.is_some_and(|t| now.since(t) > Micros::millis(2800));
@@ -434,14 +491,15 @@
                 let Some((r, tasks)) = report.and_then(|r| read_tasks(&r).map(|t| (r, t))) else {
                     warn!("{id}: unreadable report");
                     w.not_before = now + Micros::secs(1);
+                    self.touch(id);
                     return;
                 };
-                if r.host != id.0 {
+                if r.host != id.as_str() {
                     // Another machine has the address now.
                     w.not_before = now + Micros::secs(1);
+                    self.touch(id);
                     return;
                 }
-                self.dirty = true;
                 if Baton(r.baton) > w.baton {
                     info!("{id}: lost to a higher token {}", r.baton);
                     self.workers.remove(id);
@@ -462,51 +520,68 @@
                 w.not_before = now + Micros::millis(700);
             }
         }
+        self.touch(id);
     }
 
-    /// Takes the leader's block. Returns the machines that were added.
-    pub fn take_block(&mut self, block: &[GrantedMachine]) -> Vec<MachineId> {
-        let mut added = Vec::new();
-        let keep: BTreeSet<&MachineId> = block.iter().map(|g| &g.id).collect();
-        let before = self.workers.len();
-        self.workers.retain(|id, _| keep.contains(id));
-        self.dirty |= before != self.workers.len();
+    /// Takes what changed of the leader's block; `whole` if that is all of it.
+    /// Returns how many machines were granted.
+    pub fn take_block(
+        &mut self,
+        whole: bool,
+        block: &[GrantedMachine],
+        elsewhere: &[(MachineId, Option<NodeId>)],
+    ) -> usize {
+        let mut added = 0;
+        if whole {
+            let keep: BTreeSet<&MachineId> = block.iter().map(|g| &g.id).collect();
+            self.workers.retain(|id, _| keep.contains(id));
+            self.directory.clear();
+        }
+        for (id, holder) in elsewhere {
+            self.workers.remove(id);
+            match holder {
+                Some(n) => self.directory.insert(id.clone(), *n),
+                None => self.directory.remove(id),
+            };
+        }
         for g in block {
-            match self.workers.get_mut(&g.id) {
-                None => {
-                    self.workers.insert(g.id.clone(), Worker::new(g));
-                    added.push(g.id.clone());
-                    self.dirty = true;
-                }
-                Some(w) => {
-                    w.draining = g.draining;
-                    if w.addr.is_empty() {
-                        w.addr = g.addr.clone();
-                    }
-                    if g.baton > w.baton {
-                        w.baton = g.baton;
-                        w.announce = true;
-                        w.not_before = Micros(0);
-                        added.push(g.id.clone());
-                        self.dirty = true;
-                    }
-                }
+            self.directory.remove(&g.id);
+            let w = self.workers.entry(g.id.clone()).or_insert_with(|| {
+                added += 1;
+                Worker::new(g)
+            });
+            w.draining = g.draining;
+            if w.addr.is_empty() {
+                w.addr = g.addr.clone();
+            }
+            if g.baton > w.baton {
+                w.baton = g.baton;
+                w.announce = true;
+                w.not_before = Micros(0);
+                added += 1;
             }
+            self.touch(&g.id);
         }
         added
     }
 
-    /// Whether an update is news, and not one that was held up on the way.
-    pub fn accept_update(&mut self, term: u64, seq: u64) -> bool {
+    /// Whether an update is news, and not one that was held up on the way, and
+    /// the one that it builds on was taken.
+    pub fn accept_update(&mut self, term: u64, seq: u64, base: u64) -> bool {
         if term < self.term || (term == self.term && seq <= self.update_seq) {
             return false;
         }
+        if base > 0 && (term > self.term || base > self.update_seq) {
+            return false;
+        }
         if term > self.term {
             // Seqs and outcomes belong to a term's leader.
             self.outcomes.clear();
             self.acked = 0;
+            self.base = 0;
             self.sync_sent.clear();
             self.lease_until = Micros(0);
+            self.running.clear();
             for w in self.workers.values_mut() {
                 w.exits.values_mut().for_each(|e| *e = None);
             }
@@ -516,8 +591,22 @@
         true
     }
 
+    /// Takes numbers of running tasks; `whole` if these are all.
+    pub fn take_running(&mut self, whole: bool, running: &[(JobId, u32)]) {
+        if whole {
+            self.running.clear();
+        }
+        for (id, n) in running {
+            match n {
+                0 => self.running.remove(id),
+                n => self.running.insert(*id, *n),
+            };
+        }
+    }
+
     /// The leader took the `Sync` numbered `ack`.
     pub fn take_ack(&mut self, ack: u64, lease: Micros) {
+        self.base = ack;
         if let Some(sent) = self.sync_sent.get(&ack).copied() {
             // Less 0.1% for the drift between the clocks.
             self.lease_until = self.lease_until.max(sent + lease.scale(999, 1000));
@@ -536,8 +625,9 @@
                 continue;
             }
             let machine = self.place(h, ledger, sizes, now);
-            if machine.is_none() {
-                debug!("{}: no room for hand-out {}", h.task, h.attempt.0);
+            match &machine {
+                Some(id) => self.touch(id),
+                None => debug!("{}: no room for hand-out {}", h.task, h.attempt.0),
             }
             self.outcomes.insert(h.attempt, Placed { machine, told: None });
             self.dirty = true;
@@ -550,36 +640,13 @@
         if over(Some(job), h.task.index) || now >= self.lease_until {
             return None;
         }
-        let mut best: Option<((u8, placement::Score), MachineId)> = None;
-        for (id, w) in &self.workers {
-            // Only machines granted before the hand-out: the leader bound the
-            // task to those. Only recorded ones, and only once the worker has
-            // this grant's token: what else it may hold is known then.
-            if w.baton.0 >= h.attempt.0 || w.draining || w.seen_baton != w.baton || w.warning.is_some() {
-                continue;
-            }
-            if w.heard.is_none_or(|t| now.since(t) > Micros::secs(5)) {
-                continue;
-            }
-            let (Some(m), true) = (ledger.machines.get(id), w.shift > 0) else { continue };
-            let Some(size) = sizes.get(&m.build) else { continue };
-            let c = Candidate {
-                build: &m.build,
-                zone: &m.zone,
-                spot: m.spot,
-                size,
-                free: size.minus(w.used(ledger)),
-                image: w.images.contains(&spec.image),
-                zone_cpu: 0,
-            };
-            let Some(s) = placement::score(spec, &c, h.zone.as_deref()) else { continue };
-            // The leader chose by the same measure and reserved room there.
-            let s = ((*id != h.hint) as u8, s);
-            if best.as_ref().is_none_or(|(b, _)| s < *b) {
-                best = Some((s, id.clone()));
-            }
-        }
-        let (_, id) = best?;
+        // The leader chose by the same measure and reserved room there: its
+        // machine, if that will do, and the best of the others otherwise.
+        let rate = |id: &MachineId, w: &Worker| self.rate(h, spec, id, w, ledger, sizes, now);
+        let id = match self.workers.get(&h.hint).and_then(|w| rate(&h.hint, w)) {
+            Some(_) => h.hint.clone(),
+            None => self.workers.iter().filter_map(|(id, w)| Some((rate(id, w)?, id))).min()?.1.clone(),
+        };
         let w = self.workers.get_mut(&id)?;
         w.images.insert(spec.image.clone());
         w.starts.insert(
@@ -596,6 +663,41 @@
         Some(id)
     }
 
+    /// How well a machine suits a hand-out; `None` if it can't be started there.
+    #[allow(clippy::too_many_arguments)]
+    fn rate(
+        &self,
+        h: &HandOut,
+        spec: &JobSpec,
+        id: &MachineId,
+        w: &Worker,
+        ledger: &Ledger,
+        sizes: &Sizes,
+        now: Micros,
+    ) -> Option<placement::Score> {
+        // Only machines granted before the hand-out: the leader bound the
+        // task to those. Only recorded ones, and only once the worker has
+        // this grant's token: what else it may hold is known then.
+        if w.baton.0 >= h.attempt.0 || w.draining || w.seen_baton != w.baton || w.warning.is_some() {
+            return None;
+        }
+        if w.shift == 0 || w.heard.is_none_or(|t| now.since(t) > Micros::secs(5)) {
+            return None;
+        }
+        let m = ledger.machines.get(id)?;
+        let size = sizes.get(&m.build)?;
+        let c = Candidate {
+            build: &m.build,
+            zone: &m.zone,
+            spot: m.spot,
+            size,
+            free: size.minus(w.used(ledger)),
+            image: w.images.contains(&spec.image),
+            zone_cpu: 0,
+        };
+        placement::score(spec, &c, h.zone.as_deref())
+    }
+
     /// Takes the leader's stops.
     pub fn take_stops(&mut self, stops: &[StopRequest]) {
         for s in stops {
@@ -605,13 +707,16 @@
                     let grace = w.stops.get(&k).map_or(s.grace, |o| o.grace.min(s.grace));
                     let sent_direct = w.stops.get(&k).is_some_and(|o| o.sent_direct && o.grace == grace);
                     w.stops.insert(k, Stop { grace, sent_direct });
+                    if !sent_direct {
+                        self.touch(&s.machine);
+                    }
                 }
             }
         }
     }
 
-    /// This controller's view, for the leader.
-    pub fn sync(&mut self, ledger: &Ledger, now: Micros) -> (u64, Vec<MachineState>, Vec<Outcome>) {
+    /// What the leader of `term` has not acknowledged of this controller's view.
+    pub fn sync(&mut self, term: u64, ledger: &Ledger, now: Micros) -> Message {
         self.sync_seq += 1;
         let seq = self.sync_seq;
         self.sync_sent.insert(seq, now);
@@ -619,9 +724,17 @@
             self.sync_sent.pop_first();
         }
         self.dirty = false;
+        let (base, seen) = if term == self.term { (self.base, self.update_seq) } else { (0, 0) };
+        let heard = self
+            .workers
+            .iter()
+            .filter(|(_, w)| base > 0 && w.changed <= base && w.reported > base)
+            .filter_map(|(id, w)| Some((id.clone(), now.since(w.heard?))))
+            .collect();
         let machines = self
             .workers
             .iter_mut()
+            .filter(|(_, w)| base == 0 || w.changed > base)
             .map(|(id, w)| {
                 w.exits.values_mut().for_each(|e| *e = e.or(Some(seq)));
                 let mut tasks = w.tasks.clone();
@@ -658,6 +771,11 @@
                 Outcome { attempt: *a, machine: p.machine.clone() }
             })
             .collect();
-        (seq, machines, outcomes)
+        Message::Sync { term, seq, base, seen, machines, heard, outcomes }
+    }
+
+    /// Whether the leader of `term` knows nothing of this controller yet.
+    pub fn unknown_to(&self, term: u64) -> bool {
+        term != self.term || self.base == 0
     }
 }
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -1,7 +1,8 @@
 //! Newtypes for identities, times and amounts.
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::fmt;
 use std::ops::{Add, Sub};
+use std::rc::Rc;
+use std::{fmt, io};
 
 /// Whole microseconds: a point on a node's steady clock, or a span.
 #[derive(
@@ -93,14 +94,36 @@
     }
 }
 
-/// The name the cloud gave a machine. The cloud never uses one twice.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
-pub struct MachineId(pub String);
+/// The name the cloud gave a machine. The cloud never uses one twice. Names are
+/// passed about much more often than made, so a copy shares the text.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MachineId(Rc<str>);
+impl MachineId {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+impl From<&str> for MachineId {
+    fn from(name: &str) -> Self {
+        MachineId(name.into())
+    }
+}
 impl fmt::Display for MachineId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
     }
 }
+impl BorshSerialize for MachineId {
+    fn serialize<W: io::Write>(&self, w: &mut W) -> io::Result<()> {
+        self.as_str().serialize(w)
+    }
+}
+impl BorshDeserialize for MachineId {
+    fn deserialize_reader<R: io::Read>(r: &mut R) -> io::Result<Self> {
+        Ok(MachineId(String::deserialize_reader(r)?.into()))
+    }
+}
 
 /// A controller, by its place in the sorted list of all controllers' names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -360,7 +360,7 @@
         let Some((space, name)) = rest.split_once('/') else { return Change::Other };
         match space {
             "m" => {
-                let id = MachineId(name.to_owned());
+                let id = MachineId::from(name);
                 match value.and_then(|v| MachineRecord::deserialize(v).ok()) {
                     Some(r) => self.machines.insert(id.clone(), r),
                     None => self.machines.remove(&id),
--- a/src/core/leader/bindings.rs
+++ b/src/core/leader/bindings.rs
@@ -3,17 +3,7 @@
 
 impl Leader {
     /// A controller's view. Stale ones are dropped.
-    #[allow(clippy::too_many_arguments)]
-    pub fn sync(
-        &mut self,
-        from: NodeId,
-        incarnation: u64,
-        seq: u64,
-        machines: &[MachineState],
-        outcomes: &[Outcome],
-        ledger: &Ledger,
-        now: Micros,
-    ) {
+    pub fn sync(&mut self, from: NodeId, incarnation: u64, view: &View<'_>, ledger: &Ledger, now: Micros) {
         let Some(node) = self.nodes.get_mut(from.0 as usize) else { return };
         if incarnation < node.incarnation {
             // Held up on the way since before the node's restart.
@@ -23,31 +13,45 @@
             // Another process: what the last one held or was handed is in
             // nobody's mind now. Its machines need a new grant.
             let first = node.incarnation == 0;
-            *node = Node { incarnation, since: now, update_seq: node.update_seq, ..Node::default() };
+            *node = Node { incarnation, since: now, ..Node::default() };
             if !first {
                 info!("controller {} restarted", from.0);
+                let stamp = self.version + 1;
                 for m in self.machines.values_mut().filter(|m| m.holder == Some(from)) {
                     m.last_holder = m.holder.take();
                     m.confirmed = false;
+                    m.stamp = stamp;
                 }
+                self.blocks_at = Micros(0);
                 self.handouts.retain(|_, (n, _)| *n != from);
             }
             self.dirty = true;
-        } else if seq <= node.sync_seq {
+        } else if view.seq <= node.sync_seq {
             return;
         }
         let Some(node) = self.nodes.get_mut(from.0 as usize) else { return };
-        node.sync_seq = seq;
+        if view.base > node.sync_seq {
+            // It builds on one that was not taken; the next update says so.
+            return;
+        }
+        node.sync_seq = view.seq;
+        node.seen = view.seen;
+        node.owed |= !view.machines.is_empty() || !view.outcomes.is_empty();
         if node.heard.is_none_or(|t| now.since(t) > Micros::millis(2500)) {
             node.contact_since = now;
         }
         node.heard = Some(now);
-        for o in outcomes {
+        for o in view.outcomes {
             self.outcome(from, incarnation, o);
         }
-        for s in machines {
+        for s in view.machines {
             self.machine_state(from, s, ledger, now);
         }
+        for (id, ago) in view.heard {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.heard_at(now - *ago);
+            }
+        }
     }
 
     pub(super) fn outcome(&mut self, from: NodeId, incarnation: u64, o: &Outcome) {
@@ -85,10 +89,8 @@
         }
         // That it was heard is true under any token: a holder back from a cut
         // has not seen its newest grant, and its machines are not dead.
-        let heard = s.heard_ago.map(|ago| now - ago);
-        if heard > m.heard {
-            m.heard = heard;
-            m.probed = None;
+        if let Some(ago) = s.heard_ago {
+            m.heard_at(now - ago);
         }
         if m.holder != Some(from) || m.baton != s.baton {
             return;
@@ -226,6 +228,7 @@
                             m.failed_jobs.len()
                         );
                         m.draining = Some("tasks fail on it");
+                        self.tell(id);
                     }
                 }
             }
@@ -283,7 +286,7 @@
     /// The cloud said that the machine and everything on it are gone.
     pub(super) fn machine_gone(&mut self, id: &MachineId, now: Micros) {
         self.machines.remove(id);
-        self.gone.insert(id.clone(), now);
+        self.gone.insert(id.clone(), (now, self.version + 1));
         self.last_seen.remove(id);
         self.clear_handed(id, None);
         let tasks: Vec<TaskId> = self
@@ -318,8 +321,9 @@
                     m.since = now;
                     self.dirty = true;
                 }
-                if !rec.addr.is_empty() {
+                if !rec.addr.is_empty() && m.addr != rec.addr {
                     m.addr = rec.addr.clone();
+                    self.tell(id);
                 }
             }
         }
--- a/src/core/leader/blocks.rs
+++ b/src/core/leader/blocks.rs
@@ -1,6 +1,11 @@
 //! Blocks: who holds which machine, and machines that fall silent.
 use super::*;
 
+/// How often the fleet is gone through for machines to move or to watch.
+const BLOCKS_EVERY: Micros = Micros::millis(100);
+/// How often it is gone through for tasks of cancelled jobs.
+const STOPS_EVERY: Micros = Micros::millis(200);
+
 impl Leader {
     pub(super) fn in_contact(&self, n: NodeId, now: Micros) -> bool {
         self.nodes
@@ -9,14 +14,25 @@
             .is_some_and(|t| now.since(t) < Micros::millis(2500))
     }
 
-    /// The controller that a machine should be granted to.
-    pub(super) fn choose_holder(&self, zone: &str, prefer: Option<NodeId>, now: Micros) -> Option<NodeId> {
+    /// How many machines each controller holds.
+    pub(super) fn loads(&self) -> Vec<usize> {
         let mut load = vec![0usize; self.nodes.len()];
         for m in self.machines.values() {
             if let Some(h) = m.holder {
                 load[h.0 as usize] += 1;
             }
         }
+        load
+    }
+
+    /// The controller that a machine should be granted to.
+    pub(super) fn choose_holder(
+        &self,
+        load: &[usize],
+        zone: &str,
+        prefer: Option<NodeId>,
+        now: Micros,
+    ) -> Option<NodeId> {
         (0..self.nodes.len())
             .map(|i| NodeId(i as u8))
             .filter(|n| self.in_contact(*n, now) && load[n.0 as usize] < self.ctx.operator.block_size)
@@ -37,8 +53,13 @@
         m.granted_at = now;
         m.want_baton = false;
         m.probed = None;
-        // The new holder's word is needed; what the last one heard says nothing about it.
-        for n in &mut self.nodes {
+        // The new holder's word is needed; what the last one heard says nothing
+        // about it. The others learn of it with their next message, and the one
+        // that its worker reports to at once.
+        self.tell(id);
+        if let Some((n, _)) = self.last_seen.get(id)
+            && let Some(n) = self.nodes.get_mut(n.0 as usize)
+        {
             n.dirty = true;
         }
     }
@@ -55,16 +76,23 @@
             self.granted = true;
             let ids: Vec<(MachineId, Option<NodeId>, String)> =
                 self.machines.iter().map(|(i, m)| (i.clone(), m.holder, m.zone.clone())).collect();
-            for (id, holder, zone) in ids {
-                if let Some(m) = self.machines.get_mut(&id) {
+            for (id, holder, _) in &ids {
+                if let Some(m) = self.machines.get_mut(id) {
                     m.holder = None;
-                    m.last_holder = holder;
+                    m.last_holder = *holder;
                 }
-                self.grant_unheld(&id, &zone, now);
             }
+            let mut load = self.loads();
+            for (id, _, zone) in ids {
+                self.grant_unheld(&mut load, &id, &zone, now);
+            }
+        }
+        // Passes over the whole fleet: often enough for what they watch.
+        if now.since(self.blocks_at) >= BLOCKS_EVERY {
+            self.blocks_at = now;
+            self.move_blocks(now);
+            self.watch_silent(now);
         }
-        self.move_blocks(now);
-        self.watch_silent(now);
         self.stop_cancelled(ledger, now);
         if self.dirty && now.since(self.scheduled) >= Micros::millis(20) {
             self.dirty = false;
@@ -76,6 +104,7 @@
     pub(super) fn move_blocks(&mut self, now: Micros) {
         let mut moves: Vec<(MachineId, NodeId, &'static str)> = Vec::new();
         let mut unheld = Vec::new();
+        let mut load = self.loads();
         for (id, m) in &self.machines {
             if m.stage != Stage::Up || !m.recorded {
                 continue;
@@ -98,7 +127,7 @@
                         && self.ctx.zones[h.0 as usize] != m.zone
                         && now.since(m.granted_at) > Micros::secs(10)
                         && m.reserved.is_empty()
-                        && let Some(to) = self.choose_holder(&m.zone, None, now)
+                        && let Some(to) = self.choose_holder(&load, &m.zone, None, now)
                         && self.ctx.zones[to.0 as usize] == m.zone
                         && now.since(self.nodes[to.0 as usize].since) > Micros::secs(4)
                         && moves.len() < 2
@@ -110,9 +139,14 @@
         }
         for (id, to, why) in moves {
             self.grant(&id, to, why, now);
+            load = self.loads();
         }
         for (id, zone) in unheld {
-            self.grant_unheld(&id, &zone, now);
+            self.grant_unheld(&mut load, &id, &zone, now);
+        }
+        let full = !load.is_empty() && load.iter().all(|n| *n >= self.ctx.operator.block_size);
+        if std::mem::replace(&mut self.blocks_full, full) != full && full {
+            warn!("every block holds block_size machines; the rest are held by nobody");
         }
     }
 
@@ -120,18 +154,19 @@
     /// its zone, or to one that its worker reports to. When none of these is
     /// in contact, the zone may be cut off with its controller, which goes on
     /// renewing its workers; a grant to a node beyond the cut would help nobody.
-    pub(super) fn grant_unheld(&mut self, id: &MachineId, zone: &str, now: Micros) {
+    pub(super) fn grant_unheld(&mut self, load: &mut [usize], id: &MachineId, zone: &str, now: Micros) {
         let Some(m) = self.machines.get(id) else { return };
         let seen = self.last_seen.get(id).filter(|(_, t)| now.since(*t) < Micros::secs(4)).map(|x| x.0);
         let last = m.last_holder.filter(|h| self.in_contact(*h, now));
         let own = self
-            .choose_holder(zone, last, now)
+            .choose_holder(load, zone, last, now)
             .filter(|n| Some(*n) == last || self.ctx.zones[n.0 as usize] == zone);
-        let Some(to) = own.or_else(|| self.choose_holder(zone, seen, now)) else { return };
+        let Some(to) = own.or_else(|| self.choose_holder(load, zone, seen, now)) else { return };
         let of_zone = self.ctx.zones[to.0 as usize] == zone;
         let no_own = !self.ctx.zones.iter().any(|z| z == zone);
         if of_zone || no_own || Some(to) == last || seen.is_some() {
             self.grant(id, to, "no holder", now);
+            load[to.0 as usize] += 1;
         }
     }
 
@@ -220,6 +255,10 @@
     /// confirmed: a stop does no harm, and a cancellation doesn't wait for the
     /// state service.
     pub fn stop_cancelled(&mut self, ledger: &Ledger, now: Micros) {
+        if now.since(self.stops_at) < STOPS_EVERY {
+            return;
+        }
+        self.stops_at = now;
         self.watch_cancelled(ledger, now);
         // A controller that the state service refuses doesn't know of the
         // cancellation; the leader tells it.
@@ -303,5 +342,6 @@
         m.since = now;
         m.delete_sent = None;
         self.dirty = true;
+        self.tell(id);
     }
 }
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -21,7 +21,12 @@
             if now >= self.rent_not_before {
                 self.plan_hires(flavors, now);
             }
-            self.gone.retain(|_, t| now.since(*t) < Micros::secs(600));
+            let forgotten = &mut self.forgotten;
+            self.gone.retain(|_, (t, stamp)| {
+                let keep = now.since(*t) < Micros::secs(600);
+                *forgotten = if keep { *forgotten } else { (*forgotten).max(*stamp) };
+                keep
+            });
         }
         wishes.extend(self.deletions(now));
         for (req, stage, _) in self.hires.values() {
@@ -108,7 +113,7 @@
             if req.spot { ", spot" } else { "" }
         );
         for h in hosts {
-            let id = MachineId(h.clone());
+            let id = MachineId::from(&**h);
             if self.gone.contains_key(&id) || self.machines.contains_key(&id) {
                 continue;
             }
@@ -128,16 +133,18 @@
         self.listing = false;
         self.listed = now;
         for r in page.unwrap_or(&[]) {
-            let id = MachineId(r.name.clone());
+            let id = MachineId::from(&*r.name);
             if self.gone.contains_key(&id) {
                 continue;
             }
             match self.machines.get_mut(&id) {
                 Some(m) => {
+                    let (failed, deleting) = (r.stage == "failed", m.stage == Stage::Deleting);
                     if m.addr.is_empty() {
                         m.addr = r.addr.clone();
+                        self.tell(&id);
                     }
-                    if r.stage == "failed" && m.stage != Stage::Deleting {
+                    if failed && !deleting {
                         self.delete(&id, "it failed", now);
                     }
                 }
@@ -325,6 +332,10 @@
             running_arrays: running,
             max_new: self.ctx.operator.max_machines.saturating_sub(self.machines.len()).min(50),
         };
+        let full = policy.max_new == 0 && !demands.is_empty();
+        if std::mem::replace(&mut self.fleet_full, full) != full && full {
+            warn!("max_machines is reached: work waits and nothing more is rented");
+        }
         for (w, n) in fleet::plan(rooms, &demands, &offers, &policy) {
             self.hire_count += 1;
             let name = format!("g-{}-{}", self.term, self.hire_count);
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -61,6 +61,8 @@
     heard: Option<Micros>,
     granted_at: Micros,
     warning: Option<Micros>,
+    /// The update that first tells of its last change.
+    stamp: u64,
     idle_since: Option<Micros>,
     draining: Option<&'static str>,
     failed_jobs: BTreeSet<JobId>,
@@ -98,6 +100,7 @@
             heard: None,
             granted_at: now,
             warning: None,
+            stamp: 0,
             idle_since: None,
             draining: None,
             failed_jobs: BTreeSet::new(),
@@ -123,6 +126,12 @@
     fn free(&self) -> Resources {
         self.reserved.values().fold(self.size.minus(self.used), |f, r| f.minus(*r))
     }
+    fn heard_at(&mut self, at: Micros) {
+        if self.heard.is_none_or(|t| at > t) {
+            self.heard = Some(at);
+            self.probed = None;
+        }
+    }
     fn empty(&self) -> bool {
         self.tasks.is_empty() && self.reserved.is_empty()
     }
@@ -179,6 +188,8 @@
     /// Done or cancelled: nothing of it is started, but what is left of it on
     /// machines counts.
     over: bool,
+    /// Its running tasks as last told, and the update that first told so.
+    shown: (u32, u64),
 }
 
 impl Run {
@@ -207,6 +218,7 @@
             room_until: Micros(0),
             patience: None,
             over: job.phase != Phase::Active,
+            shown: (0, 0),
         }
     }
     /// The next task that waits.
@@ -246,10 +258,13 @@
 struct Node {
     incarnation: u64,
     sync_seq: u64,
+    /// The last update that it has taken.
+    seen: u64,
+    /// It waits for the acknowledgement of what it told.
+    owed: bool,
     heard: Option<Micros>,
     since: Micros,
     contact_since: Micros,
-    update_seq: u64,
     sent: Micros,
     dirty: bool,
 }
@@ -295,6 +310,23 @@
     pub count: u32,
 }
 
+/// What a controller says in a `Sync`.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// Counts up.
+    pub seq: u64,
+    /// The `Sync` that it builds on.
+    pub base: u64,
+    /// The last update taken.
+    pub seen: u64,
+    /// Machines that changed.
+    pub machines: &'a [MachineState],
+    /// Machines that were heard, and how long ago.
+    pub heard: &'a [(MachineId, Micros)],
+    /// Hand-outs that were decided on.
+    pub outcomes: &'a [Outcome],
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum HireStage {
     ToRecord,
@@ -341,7 +373,12 @@
     queues: BTreeMap<Rank, FairQueue>,
     nodes: Vec<Node>,
     machines: BTreeMap<MachineId, Machine>,
-    gone: BTreeMap<MachineId, Micros>,
+    /// Deleted machines, when, and the update that first tells of it.
+    gone: BTreeMap<MachineId, (Micros, u64)>,
+    /// Number of the last update sent to anybody.
+    version: u64,
+    /// Deletions told before this are forgotten.
+    forgotten: u64,
     jobs: BTreeMap<JobId, Run>,
     aborted: BTreeMap<JobId, Micros>,
     handouts: BTreeMap<Attempt, (NodeId, HandOut)>,
@@ -356,7 +393,14 @@
     listing: bool,
     hire_count: u64,
     rent_not_before: Micros,
+    /// The operators' bounds are reached, and the log said so.
+    blocks_full: bool,
+    fleet_full: bool,
     scheduled: Micros,
+    /// When blocks, silent machines and cancellations were last looked at.
+    blocks_at: Micros,
+    stops_at: Micros,
+    counted: Micros,
     probes: Vec<(NodeId, MachineId, String)>,
     /// Zones of which machines are heard, since when.
     visible_since: BTreeMap<String, Micros>,
@@ -388,6 +432,8 @@
             nodes,
             machines: BTreeMap::new(),
             gone: BTreeMap::new(),
+            version: 0,
+            forgotten: 0,
             jobs: BTreeMap::new(),
             aborted: BTreeMap::new(),
             handouts: BTreeMap::new(),
@@ -403,7 +449,12 @@
             // Machines that the last leader rented show in the list only
             // after its lag; renting before that would rent them twice.
             rent_not_before: if term == 1 { now } else { now + lag },
+            blocks_full: false,
+            fleet_full: false,
             scheduled: Micros(0),
+            blocks_at: Micros(0),
+            stops_at: Micros(0),
+            counted: Micros(0),
             probes: Vec::new(),
             visible_since: BTreeMap::new(),
             last_seen: BTreeMap::new(),
@@ -457,6 +508,7 @@
             }
             Phase::Aborted => {
                 self.aborted.entry(id).or_insert(now);
+                self.stops_at = Micros(0);
             }
             Phase::Done => {}
         }
@@ -476,68 +528,89 @@
         if !self.granted {
             return out;
         }
-        let directory: Vec<(MachineId, NodeId)> =
-            self.machines.iter().filter_map(|(id, m)| Some((id.clone(), m.holder?))).collect();
-        let running: Vec<(JobId, u32)> = self
-            .jobs
-            .iter()
-            .filter_map(|(id, r)| {
-                let n = r.bound.keys().filter(|i| !r.done.contains(**i)).count() as u32;
-                (n > 0).then_some((*id, n))
-            })
-            .collect();
         for i in 0..self.nodes.len() {
             let to = NodeId(i as u8);
             let n = &self.nodes[i];
-            let due = now.since(n.sent) >= Micros::millis(500);
             if n.incarnation == 0 || n.heard.is_none_or(|t| now.since(t) > Micros::secs(5)) {
                 continue;
             }
-            if !(due || n.dirty && now.since(n.sent) >= Micros::millis(15)) {
-                continue;
+            let age = now.since(n.sent);
+            let due = age >= Micros::millis(500)
+                || n.dirty && age >= Micros::millis(15)
+                || n.owed && age >= Micros::millis(100);
+            if due {
+                let m = self.update(to, now, lease_ok);
+                out.push((to, m));
             }
-            let block = self
-                .machines
-                .iter()
-                .filter(|(_, m)| m.holder == Some(to))
-                .map(|(id, m)| GrantedMachine {
-                    id: id.clone(),
-                    baton: m.baton,
-                    addr: m.addr.clone(),
-                    draining: m.draining.is_some() || m.stage == Stage::Deleting,
-                })
-                .collect();
-            // Without a confirmed lease nothing is handed out or renewed.
-            let open = self.handouts.values().filter(|(x, _)| *x == to && lease_ok);
-            let handouts = open.map(|(_, h)| h.clone()).collect();
-            let stops = self
-                .stops
-                .values()
-                .filter(|(r, _)| self.machines.get(&r.machine).is_some_and(|m| m.holder == Some(to)))
-                .map(|(r, _)| r.clone())
-                .collect();
-            let n = &mut self.nodes[i];
-            n.update_seq += 1;
-            n.sent = now;
-            n.dirty = false;
-            out.push((
-                to,
-                Message::Update {
-                    term: self.term,
-                    seq: n.update_seq,
-                    incarnation: n.incarnation,
-                    ack: n.sync_seq,
-                    lease: if lease_ok { self.ctx.operator.block_lease } else { Micros(0) },
-                    block,
-                    handouts,
-                    stops,
-                    directory: directory.clone(),
-                    running: running.clone(),
-                },
-            ));
         }
         out
     }
+
+    /// What a controller has not acknowledged of the leader's orders.
+    fn update(&mut self, to: NodeId, now: Micros, lease_ok: bool) -> Message {
+        if now.since(self.counted) >= Micros::millis(300) {
+            self.counted = now;
+            self.count_running();
+        }
+        self.version += 1;
+        let seq = self.version;
+        let node = &mut self.nodes[to.0 as usize];
+        node.sent = now;
+        node.dirty = false;
+        node.owed = false;
+        let base = if node.seen < self.forgotten { 0 } else { node.seen };
+        let (incarnation, ack) = (node.incarnation, node.sync_seq);
+        let mut block = Vec::new();
+        let mut elsewhere = Vec::new();
+        for (id, m) in self.machines.iter().filter(|(_, m)| base == 0 || m.stamp > base) {
+            if m.holder == Some(to) {
+                let draining = m.draining.is_some() || m.stage == Stage::Deleting;
+                block.push(GrantedMachine { id: id.clone(), baton: m.baton, addr: m.addr.clone(), draining });
+            } else {
+                elsewhere.push((id.clone(), m.holder));
+            }
+        }
+        let gone = self.gone.iter().filter(|(_, (_, stamp))| base > 0 && *stamp > base);
+        elsewhere.extend(gone.map(|(id, _)| (id.clone(), None)));
+        let held = |id: &MachineId| self.machines.get(id).is_some_and(|m| m.holder == Some(to));
+        // Without a confirmed lease nothing is handed out or renewed.
+        let open = self.handouts.values().filter(|(x, _)| *x == to && lease_ok);
+        let running = self.jobs.iter().filter(|(_, r)| r.shown.1 > base);
+        Message::Update {
+            term: self.term,
+            seq,
+            base,
+            incarnation,
+            ack,
+            lease: if lease_ok { self.ctx.operator.block_lease } else { Micros(0) },
+            block,
+            elsewhere,
+            handouts: open.map(|(_, h)| h.clone()).collect(),
+            stops: self.stops.values().filter(|(r, _)| held(&r.machine)).map(|(r, _)| r.clone()).collect(),
+            running: running.map(|(id, r)| (*id, r.shown.0)).collect(),
+        }
+    }
+
+    /// Numbers of running tasks, for display.
+    fn count_running(&mut self) {
+        for r in self.jobs.values_mut() {
+            let n = r.bound.keys().filter(|i| !r.done.contains(**i)).count() as u32;
+            if n != r.shown.0 {
+                r.shown = (n, self.version + 1);
+            }
+        }
+    }
+
+    /// What controllers are told of a machine changed.
+    fn tell(&mut self, id: &MachineId) {
+        let stamp = self.version + 1;
+        if let Some(m) = self.machines.get_mut(id) {
+            m.stamp = stamp;
+            if let Some(n) = m.holder.and_then(|h| self.nodes.get_mut(h.0 as usize)) {
+                n.dirty = true;
+            }
+        }
+    }
 }
 
 impl Rental {
--- a/src/core/leader/records.rs
+++ b/src/core/leader/records.rs
@@ -60,6 +60,7 @@
             LeaderWrite::Machine(id) => {
                 if let Some(m) = self.machines.get_mut(id) {
                     m.recorded = true;
+                    self.blocks_at = Micros(0);
                 }
             }
             LeaderWrite::Hire(name) => {
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -30,7 +30,7 @@
 }
 
 fn m(id: &str) -> MachineId {
-    MachineId(id.into())
+    MachineId::from(id)
 }
 
 fn task(job: u64, index: u32) -> TaskId {
@@ -83,7 +83,8 @@
     fn sync(&mut self, from: NodeId, machines: &[MachineState], outcomes: &[Outcome]) {
         let i = from.0 as usize;
         self.seq[i] += 1;
-        self.leader.sync(from, self.incarnation[i], self.seq[i], machines, outcomes, &self.ledger, self.now);
+        let view = View { seq: self.seq[i], base: 0, seen: 0, machines, heard: &[], outcomes };
+        self.leader.sync(from, self.incarnation[i], &view, &self.ledger, self.now);
     }
 
     fn state(&self, id: &str, seen: Baton, tasks: &[(TaskId, Attempt, TaskState)]) -> MachineState {
@@ -191,7 +192,9 @@
             |b, a| {
                 b.incarnation[0] += 1;
                 b.sync(A, &[], &[]);
-                b.leader.sync(A, 5, 99, &[], &[Outcome { attempt: a, machine: None }], &b.ledger, b.now);
+                let outcomes = [Outcome { attempt: a, machine: None }];
+                let view = View { seq: 99, base: 0, seen: 0, machines: &[], heard: &[], outcomes: &outcomes };
+                b.leader.sync(A, 5, &view, &b.ledger, b.now);
             },
             false,
         ),
--- a/src/core/node/duties.rs
+++ b/src/core/node/duties.rs
@@ -100,7 +100,11 @@
     }
 
     pub(super) fn changed(&mut self, c: Change) {
-        if let (Change::Job(id), Some(l)) = (c, self.leader.as_mut()) {
+        let Change::Job(id) = c else { return };
+        if let Some(job) = self.ledger.jobs.get(&id) {
+            self.ctl.job_changed(id, job);
+        }
+        if let Some(l) = self.leader.as_mut() {
             l.job_changed(id, &self.ledger, self.now);
         }
     }
@@ -391,7 +395,7 @@
             };
             let c = match &w {
                 CloudWish::Delete(ids) => {
-                    let b = Hosts { hosts: ids.iter().map(|i| i.0.clone()).collect() };
+                    let b = Hosts { hosts: ids.iter().map(|i| i.to_string()).collect() };
                     call("POST", "/rentals/delete".into(), serde_json::to_vec(&b).unwrap_or_default())
                 }
                 CloudWish::Hire(r) => {
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -9,7 +9,7 @@
 use crate::core::election::{Election, Role};
 use crate::core::ids::{JobId, MachineId, Micros, NodeId, Resources};
 use crate::core::jobs::{self, Change, JobSpec, Kind, LeaderRecord, Ledger, MachineRecord, Phase, keys};
-use crate::core::leader::{CloudWish, Context, HireRequest, Leader, LeaderWrite};
+use crate::core::leader::{CloudWish, Context, HireRequest, Leader, LeaderWrite, View};
 use crate::core::rate::Bucket;
 use crate::core::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
 use crate::peer::{Message, Parcel};
@@ -133,6 +133,7 @@
     leader_retry_at: Micros,
     ctl: Controller,
     sync_at: Micros,
+    sync_term: u64,
     ping_at: Micros,
     peers: Vec<PeerState>,
     flavors: Vec<Flavor>,
@@ -205,6 +206,7 @@
             leader_retry_at: Micros(0),
             ctl: Controller::default(),
             sync_at: Micros(0),
+            sync_term: 0,
             ping_at: Micros(0),
             peers: nodes
                 .names
@@ -375,7 +377,7 @@
             Purpose::Probe(m) => {
                 if let CallResult::Answer { status: 200, body } = &result
                     && let Ok(r) = serde_json::from_slice::<Report>(body)
-                    && r.host == m.0
+                    && r.host == m.as_str()
                 {
                     let rec = MachineRecord { build: r.build, zone: r.yard, spot: r.loaners, addr: r.addr };
                     self.tell_seen(&m, rec);
@@ -421,6 +423,9 @@
         ledger.applied = first;
         self.ledger = *ledger;
         self.listed = true;
+        for (id, job) in &self.ledger.jobs {
+            self.ctl.job_changed(*id, job);
+        }
         if let Some(l) = self.leader.as_mut() {
             for id in self.ledger.jobs.keys() {
                 l.job_changed(*id, &self.ledger, self.now);
--- a/src/core/node/peers.rs
+++ b/src/core/node/peers.rs
@@ -66,14 +66,10 @@
         }
         self.mail_at = self.now;
         let me = self.nodes.names[self.nodes.me.0 as usize].clone();
-        for ((to, _), mut message) in std::mem::take(&mut self.mail) {
+        for ((to, _), message) in std::mem::take(&mut self.mail) {
             if self.hears(to, Micros::millis(1700)) {
                 continue;
             }
-            if let Message::Update { directory, running, .. } = &mut message {
-                directory.clear();
-                running.clear();
-            }
             let parcel = Parcel { from: self.nodes.me, incarnation: self.incarnation, message }.pack();
             let text: String = parcel.iter().map(|b| format!("{b:02x}")).collect();
             if text.len() + 64 > self.value_limit {
@@ -114,9 +110,11 @@
                     }
                 }
             }
-            Message::Sync { term, seq, machines, outcomes } => {
+            Message::Sync { term, seq, base, seen, machines, heard, outcomes } => {
                 if let Some(l) = self.leader.as_mut().filter(|l| l.term == term) {
-                    l.sync(from, incarnation, seq, &machines, &outcomes, &self.ledger, self.now);
+                    let view =
+                        View { seq, base, seen, machines: &machines, heard: &heard, outcomes: &outcomes };
+                    l.sync(from, incarnation, &view, &self.ledger, self.now);
                 }
             }
             Message::Seen { id, build, zone, spot, addr } => {
@@ -128,28 +126,28 @@
             Message::Update {
                 term,
                 seq,
+                base,
                 incarnation: mine,
                 ack,
                 lease,
                 block,
+                elsewhere,
                 handouts,
                 stops,
-                directory,
                 running,
             } => {
-                if mine != self.my_incarnation(from) || !self.ctl.accept_update(term, seq) {
+                if mine != self.my_incarnation(from) || !self.ctl.accept_update(term, seq, base) {
                     return;
                 }
                 if self.leader_known.is_none_or(|(t, _)| t < term) {
                     self.leader_known = Some((term, from));
                 }
-                let added = self.ctl.take_block(&block);
-                if !added.is_empty() {
-                    debug!("block: {} machines granted", added.len());
+                let added = self.ctl.take_block(base == 0, &block, &elsewhere);
+                if added > 0 {
+                    debug!("block: {added} machines granted");
                 }
                 self.ctl.take_ack(ack, lease);
-                self.ctl.directory = directory.into_iter().collect();
-                self.ctl.running = running.into_iter().collect();
+                self.ctl.take_running(base == 0, &running);
                 self.ctl.take_handouts(&handouts, &self.ledger, &self.sizes, self.now);
                 self.ctl.take_stops(&stops);
                 self.answer_held();
@@ -183,12 +181,15 @@
     pub(super) fn sync(&mut self, force: bool) {
         let Some(to) = self.leader_node() else { return };
         let age = self.now.since(self.sync_at);
-        if !(force || self.ctl.dirty && age >= Micros::millis(40) || age >= Micros::millis(500)) {
+        let term = self.leader_term();
+        let first = std::mem::replace(&mut self.sync_term, term) != term;
+        // A leader that has acknowledged nothing is sent everything, less often.
+        let pause = Micros::millis(if self.ctl.unknown_to(term) { 200 } else { 40 });
+        if !(force || first || self.ctl.dirty && age >= pause || age >= Micros::millis(500)) {
             return;
         }
         self.sync_at = self.now;
-        let (seq, machines, outcomes) = self.ctl.sync(&self.ledger, self.now);
-        let term = self.leader_term();
-        self.send(to, Message::Sync { term, seq, machines, outcomes });
+        let m = self.ctl.sync(term, &self.ledger, self.now);
+        self.send(to, m);
     }
 }
--- a/src/core/node/workers.rs
+++ b/src/core/node/workers.rs
@@ -9,7 +9,7 @@
         let Some(tasks) = read_tasks(&r) else {
             return self.out.answer(id, 400, users::error("a task's name is unreadable"));
         };
-        let machine = MachineId(r.host.clone());
+        let machine = MachineId::from(&*r.host);
         match self.ctl.checkin(&r, tasks, &self.ledger, self.now) {
             CheckinReply::Orders(baton, orders) => {
                 let body = serde_json::to_vec(&CheckinAnswer { baton: baton.0, orders }).unwrap_or_default();
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 /// Version of the messages; a frame of another version is refused.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Longest frame taken.
 pub const MAX_FRAME: usize = 4 << 20;
 
@@ -134,38 +134,50 @@
         /// A `Parcel`.
         parcel: Vec<u8>,
     },
-    /// A controller's whole view, to the leader.
+    /// A controller's view, to the leader: what changed since the `Sync`
+    /// numbered `base`, which the leader acknowledged, so that a lost, late or
+    /// repeated one does no harm.
     Sync {
         /// The leader's term that it is meant for.
         term: u64,
         /// Counts up.
         seq: u64,
-        /// All machines that the sender holds.
+        /// What the leader has taken; 0: nothing, this is the whole view.
+        base: u64,
+        /// The last `Update` of that term taken.
+        seen: u64,
+        /// Machines that changed.
         machines: Vec<MachineState>,
+        /// Machines that were heard and did not change, and how long ago.
+        heard: Vec<(MachineId, Micros)>,
         /// Hand-outs that the leader has not acknowledged.
         outcomes: Vec<Outcome>,
     },
-    /// The leader's orders to one controller.
+    /// The leader's orders to one controller: what changed since the `Update`
+    /// numbered `base`, which the receiver acknowledged. A receiver that has
+    /// not taken `base` leaves the message; its next `Sync` says so.
     Update {
         /// Term.
         term: u64,
         /// Counts up.
         seq: u64,
+        /// What the receiver has taken; 0: nothing, this is all there is.
+        base: u64,
         /// The receiver's incarnation that it is meant for.
         incarnation: u64,
         /// The last `Sync` taken.
         ack: u64,
         /// Block lease, counted from the sending of that `Sync`.
         lease: Micros,
-        /// The receiver's block, whole.
+        /// Machines of the receiver's block that are new or changed.
         block: Vec<GrantedMachine>,
+        /// Machines that others hold, or nobody: not of the block (any more).
+        elsewhere: Vec<(MachineId, Option<NodeId>)>,
         /// Hand-outs whose outcome the leader does not know.
         handouts: Vec<HandOut>,
         /// Stops wanted.
         stops: Vec<StopRequest>,
-        /// Who holds which machine.
-        directory: Vec<(MachineId, NodeId)>,
-        /// Running tasks of jobs, for display.
+        /// Running tasks of jobs whose number changed, for display.
         running: Vec<(JobId, u32)>,
     },
     /// To the leader: a machine that the sender does not hold reported to it
