--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -87,12 +87,16 @@
     // Tasks that find room on what is there or booting.
     let mut unmet: Vec<(Rc<JobSpec>, u32, BTreeMap<String, u32>, bool)> = Vec::new();
     let mut placed_arrays = 0.0;
+    let mut zone_cpu: BTreeMap<String, u64> = BTreeMap::new();
+    for r in rooms.iter().filter(|r| !r.spot) {
+        *zone_cpu.entry(r.zone.clone()).or_default() += r.size.cpu;
+    }
+    rooms.retain(|r| r.free.cpu > 0);
     for d in demands {
         let mut zones = d.zones.clone();
-        let mut left = d.waiting;
-        while left > 0 && place(&mut rooms, &d.spec, &mut zones) {
-            left -= 1;
-            placed_arrays += (d.spec.kind == Kind::Array) as u32 as f64;
+        let left = d.waiting - fill(&mut rooms, &zone_cpu, &d.spec, &mut zones, d.waiting);
+        if d.spec.kind == Kind::Array {
+            placed_arrays += (d.waiting - left) as f64;
         }
         if left > 0 {
             unmet.push((d.spec.clone(), left, zones, d.starving && left == d.waiting));
@@ -118,11 +122,8 @@
         // waits for the next spot machine, or fills the room that replicas leave.
         let spot_only = spec.kind == Kind::Array
             && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
+        left -= fill(&mut rooms, &zone_cpu, &spec, &mut zones, left);
         while left > 0 && added < policy.max_new {
-            if place(&mut rooms, &spec, &mut zones) {
-                left -= 1;
-                continue;
-            }
             let best = offers
                 .iter()
                 .filter(|o| !o.refused && spec.allows(&o.build, &o.zone, o.spot, &o.size))
@@ -135,13 +136,15 @@
                 })
                 .min_by(|a, b| a.0.total_cmp(&b.0));
             let Some((_, o)) = best else { break };
-            rooms.push(Room {
+            let mut room = Room {
                 build: o.build.clone(),
                 zone: o.zone.clone(),
                 spot: o.spot,
                 size: o.size,
                 free: o.size,
-            });
+            };
+            left -= put(&mut room, &spec, &mut zones, left);
+            rooms.push(room);
             *wants.entry(Want { build: o.build.clone(), zone: o.zone.clone(), spot: o.spot }).or_default() +=
                 1;
             added += 1;
@@ -157,12 +160,23 @@
     !(spec.one_zone && elsewhere) && here < spec.zone_cap()
 }
 
-fn place(rooms: &mut [Room], spec: &JobSpec, zones: &mut BTreeMap<String, u32>) -> bool {
-    let zone_cpu = |z: &str| rooms.iter().filter(|r| !r.spot && r.zone == z).map(|r| r.size.cpu).sum();
-    let best = rooms
+/// Puts up to `left` tasks of the job where there is room, the best first; how
+/// many found some.
+fn fill(
+    rooms: &mut [Room],
+    zone_cpu: &BTreeMap<String, u64>,
+    spec: &JobSpec,
+    zones: &mut BTreeMap<String, u32>,
+    left: u32,
+) -> u32 {
+    let zone_cpu = |z: &str| match spec.kind {
+        Kind::Service => zone_cpu.get(z).copied().unwrap_or(0),
+        Kind::Array => 0,
+    };
+    let mut order: Vec<(placement::Score, usize)> = rooms
         .iter()
         .enumerate()
-        .filter(|(_, r)| zone_ok(spec, &r.zone, zones))
+        .filter(|(_, r)| r.free.fits(&spec.need))
         .filter_map(|(i, r)| {
             let c = Candidate {
                 build: &r.build,
@@ -171,15 +185,36 @@
                 size: &r.size,
                 free: r.free,
                 image: true,
-                zone_cpu: if spec.kind == Kind::Service { zone_cpu(&r.zone) } else { 0 },
+                zone_cpu: zone_cpu(&r.zone),
             };
             Some((placement::score(spec, &c, None)?, i))
         })
-        .min();
-    let Some((_, i)) = best else { return false };
-    rooms[i].free = rooms[i].free.minus(spec.need);
-    *zones.entry(rooms[i].zone.clone()).or_default() += 1;
-    true
+        .collect();
+    order.sort_unstable();
+    let mut placed = 0;
+    for (_, i) in order {
+        if placed == left {
+            break;
+        }
+        placed += put(&mut rooms[i], spec, zones, left - placed);
+    }
+    placed
+}
+
+/// Puts up to `left` tasks of the job into one room.
+fn put(room: &mut Room, spec: &JobSpec, zones: &mut BTreeMap<String, u32>, left: u32) -> u32 {
+    if !zone_ok(spec, &room.zone, zones) {
+        return 0;
+    }
+    let here = zones.get(&room.zone).copied().unwrap_or(0);
+    let n = (room.free.count(&spec.need, left as u64) as u32).min(spec.zone_cap().saturating_sub(here));
+    for _ in 0..n {
+        room.free = room.free.minus(spec.need);
+    }
+    if n > 0 {
+        *zones.entry(room.zone.clone()).or_default() += n;
+    }
+    n
 }
 
 #[cfg(test)]
--- a/src/core/leader/bindings.rs
+++ b/src/core/leader/bindings.rs
@@ -22,6 +22,7 @@
                     m.confirmed = false;
                     m.stamp = stamp;
                 }
+                self.blocks.clear();
                 self.blocks_at = Micros(0);
                 self.handouts.retain(|_, (n, _)| *n != from);
             }
@@ -67,12 +68,15 @@
             return;
         }
         let may_be = b.handed.take().map(|x| x.machines).unwrap_or_default();
+        self.handed.remove(&h.task);
         if let Some(id) = &o.machine
             && may_be.contains(id)
             && let Some(m) = self.machines.get_mut(id)
         {
             b.on.insert(id.clone());
+            m.bound.insert(h.task);
             m.tasks.insert(h.task, (o.attempt, TaskState::Starting));
+            m.stale = true;
         }
         self.free_if_nowhere(h.task);
     }
@@ -116,6 +120,7 @@
         let old = m.tasks.clone();
         if old != here {
             self.dirty = true;
+            m.stale = true;
         }
         if confirmed {
             m.started.retain(|t, _| here.contains_key(t));
@@ -143,11 +148,12 @@
                     .entry(task.job)
                     .or_insert_with(|| Run::new(job, spec.clone(), &self.ctx.objectives));
                 run.proven |= proven;
-                let b = run.bound.entry(task.index).or_insert(Binding {
-                    attempt: *attempt,
-                    handed: None,
-                    on: BTreeSet::new(),
+                let sums = &mut self.sums;
+                let b = run.bound.entry(task.index).or_insert_with(|| {
+                    sums.bound(&spec);
+                    Binding { attempt: *attempt, handed: None, on: BTreeSet::new() }
                 });
+                m.bound.insert(*task);
                 if b.on.insert(s.id.clone()) && b.on.len() > 1 {
                     warn!("{task} may be on several machines: {:?}", b.on);
                 }
@@ -166,15 +172,10 @@
                 self.clear_handed(&s.id, Some(token));
                 // Tasks bound here by an earlier grant and not in the report.
                 let lost: Vec<TaskId> = self
-                    .jobs
+                    .machines
+                    .get(&s.id)
                     .iter()
-                    .flat_map(|(j, r)| {
-                        r.bound
-                            .iter()
-                            .filter(|(_, b)| b.on.contains(&s.id))
-                            .map(|(i, _)| TaskId { job: *j, index: *i })
-                    })
-                    .filter(|t| !here.contains_key(t))
+                    .flat_map(|m| m.bound.iter().filter(|t| !here.contains_key(t)).copied())
                     .collect();
                 for t in lost {
                     self.unbind(t, &s.id);
@@ -243,6 +244,9 @@
         {
             b.on.remove(id);
         }
+        if let Some(m) = self.machines.get_mut(id) {
+            m.bound.remove(&task);
+        }
         self.free_if_nowhere(task);
     }
 
@@ -254,6 +258,7 @@
         {
             let attempt = b.attempt;
             run.bound.remove(&task.index);
+            self.sums.freed(&run.spec);
             run.again.insert(task.index);
             self.stops.remove(&(task, attempt));
             self.dirty = true;
@@ -264,17 +269,27 @@
     /// hand-out from before can be started on it any more.
     pub(super) fn clear_handed(&mut self, id: &MachineId, token: Option<Baton>) {
         let mut free = Vec::new();
-        for (job, run) in self.jobs.iter_mut() {
-            for (index, b) in run.bound.iter_mut() {
-                let Some(h) = b.handed.as_mut() else { continue };
-                if token.is_none_or(|t| b.attempt.0 < t.0) && h.machines.remove(id) && h.machines.is_empty() {
-                    let hint = h.hint.clone();
-                    b.handed = None;
-                    free.push((TaskId { job: *job, index: *index }, b.attempt, hint));
-                }
+        for task in &self.handed {
+            let Some(run) = self.jobs.get_mut(&task.job) else { continue };
+            let Some(b) = run.bound.get_mut(&task.index) else { continue };
+            let Some(h) = b.handed.as_mut().filter(|h| h.machines.contains(id)) else { continue };
+            if token.is_some_and(|t| b.attempt.0 >= t.0) {
+                continue;
+            }
+            Rc::make_mut(&mut h.machines).remove(id);
+            // Of the others, those that the job may not run on don't matter.
+            let (machines, spec) = (&self.machines, &run.spec);
+            let open = |m: &MachineId| {
+                machines.get(m).is_some_and(|m| spec.allows(&m.build, &m.zone, m.spot, &m.size))
+            };
+            if !h.machines.iter().any(open) {
+                let hint = h.hint.clone();
+                b.handed = None;
+                free.push((*task, b.attempt, hint));
             }
         }
         for (task, attempt, hint) in free {
+            self.handed.remove(&task);
             self.handouts.remove(&attempt);
             if let Some(m) = self.machines.get_mut(&hint) {
                 m.reserved.remove(&attempt);
@@ -285,17 +300,11 @@
 
     /// The cloud said that the machine and everything on it are gone.
     pub(super) fn machine_gone(&mut self, id: &MachineId, now: Micros) {
-        self.machines.remove(id);
+        let tasks = self.machines.remove(id).map(|m| m.bound).unwrap_or_default();
+        self.blocks.clear();
         self.gone.insert(id.clone(), (now, self.version + 1));
         self.last_seen.remove(id);
         self.clear_handed(id, None);
-        let tasks: Vec<TaskId> = self
-            .jobs
-            .iter()
-            .flat_map(|(j, r)| {
-                r.bound.iter().filter(|(_, b)| b.on.contains(id)).map(|(i, _)| TaskId { job: *j, index: *i })
-            })
-            .collect();
         for t in tasks {
             self.unbind(t, id);
         }
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -57,7 +57,11 @@
     tasks: BTreeMap<TaskId, (Attempt, TaskState)>,
     started: BTreeMap<TaskId, Micros>,
     reserved: BTreeMap<Attempt, Resources>,
+    /// What its tasks take; `stale` if they changed since it was added up.
     used: Resources,
+    stale: bool,
+    /// Tasks that are bound to it.
+    bound: BTreeSet<TaskId>,
     heard: Option<Micros>,
     granted_at: Micros,
     warning: Option<Micros>,
@@ -97,6 +101,8 @@
             started: BTreeMap::new(),
             reserved: BTreeMap::new(),
             used: Resources::default(),
+            stale: true,
+            bound: BTreeSet::new(),
             heard: None,
             granted_at: now,
             warning: None,
@@ -148,8 +154,9 @@
 #[derive(Debug, Clone)]
 struct Handed {
     incarnation: u64,
-    /// Machines on which it may have been started.
-    machines: BTreeSet<MachineId>,
+    /// Machines on which it may have been started: the block as it was, shared
+    /// by the hand-outs of that time.
+    machines: Rc<BTreeSet<MachineId>>,
     hint: MachineId,
     zone: String,
 }
@@ -253,6 +260,32 @@
     }
 }
 
+/// Sums over bound tasks, kept as tasks are bound and freed.
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Sums {
+    /// CPUs and GPUs of each team's tasks, wherever they may be.
+    teams: BTreeMap<String, (u64, u64)>,
+    /// Tasks of arrays.
+    arrays: u64,
+}
+
+impl Sums {
+    fn bound(&mut self, spec: &JobSpec) {
+        self.arrays += (spec.kind == Kind::Array) as u64;
+        let (c, g) = match self.teams.get_mut(&spec.team) {
+            Some(t) => t,
+            None => self.teams.entry(spec.team.clone()).or_default(),
+        };
+        (*c, *g) = (*c + spec.need.cpu, *g + spec.need.gpu);
+    }
+    fn freed(&mut self, spec: &JobSpec) {
+        self.arrays -= (spec.kind == Kind::Array) as u64;
+        if let Some((c, g)) = self.teams.get_mut(&spec.team) {
+            (*c, *g) = (*c - spec.need.cpu, *g - spec.need.gpu);
+        }
+    }
+}
+
 /// Another controller, as the leader sees it.
 #[derive(Debug, Default, Clone)]
 struct Node {
@@ -382,6 +415,12 @@
     jobs: BTreeMap<JobId, Run>,
     aborted: BTreeMap<JobId, Micros>,
     handouts: BTreeMap<Attempt, (NodeId, HandOut)>,
+    /// Tasks that are handed out and whose place is not known.
+    handed: BTreeSet<TaskId>,
+    /// The blocks as sets, made when they are needed.
+    blocks: BTreeMap<NodeId, Rc<BTreeSet<MachineId>>>,
+    /// Bound tasks: what teams use of CPUs and GPUs, and how many are of arrays.
+    sums: Sums,
     stops: BTreeMap<(TaskId, Attempt), (StopRequest, Micros)>,
     hires: BTreeMap<String, (HireRequest, HireStage, Micros)>,
     refused: BTreeMap<(String, String, bool), Micros>,
@@ -437,6 +476,9 @@
             jobs: BTreeMap::new(),
             aborted: BTreeMap::new(),
             handouts: BTreeMap::new(),
+            handed: BTreeSet::new(),
+            blocks: BTreeMap::new(),
+            sums: Sums::default(),
             stops: BTreeMap::new(),
             hires: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -604,6 +646,7 @@
     /// What controllers are told of a machine changed.
     fn tell(&mut self, id: &MachineId) {
         let stamp = self.version + 1;
+        self.blocks.clear();
         if let Some(m) = self.machines.get_mut(id) {
             m.stamp = stamp;
             if let Some(n) = m.holder.and_then(|h| self.nodes.get_mut(h.0 as usize)) {
--- a/src/core/leader/schedule.rs
+++ b/src/core/leader/schedule.rs
@@ -1,26 +1,82 @@
 //! What goes next, and where: SFQ, limits, placement, preemption.
 use super::*;
 
+/// What the tasks of a machine take. A task whose job is forgotten takes all.
+pub(super) fn used(m: &Machine, jobs: &BTreeMap<JobId, Run>) -> Resources {
+    let mut sum = Resources::default();
+    for t in m.tasks.keys() {
+        match jobs.get(&t.job) {
+            Some(r) => sum = sum.plus(r.spec.need),
+            None => return m.size,
+        }
+    }
+    sum
+}
+
+/// The most room that any one machine of a kind has, by dimension: where that
+/// is not enough, no machine of the kind need be looked at.
+#[derive(Debug, Default)]
+pub(super) struct Roomiest {
+    kinds: Vec<RoomiestKind>,
+    /// CPUs of ordinary machines by zone, in thousandths.
+    zone_cpu: BTreeMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct RoomiestKind {
+    build: String,
+    zone: String,
+    spot: bool,
+    size: Resources,
+    free: Resources,
+}
+
+/// Jobs that have a task to start, by priority and team, in order.
+type Waiting = BTreeMap<Rank, BTreeMap<String, VecDeque<JobId>>>;
+
+impl Roomiest {
+    fn add(&mut self, m: &Machine) {
+        let same = |k: &&mut RoomiestKind| (&k.build, &k.zone, k.spot) == (&m.build, &m.zone, m.spot);
+        let free = m.free();
+        match self.kinds.iter_mut().find(same) {
+            Some(k) => {
+                k.free.cpu = k.free.cpu.max(free.cpu);
+                k.free.gpu = k.free.gpu.max(free.gpu);
+                k.free.mem = k.free.mem.max(free.mem);
+            }
+            None => self.kinds.push(RoomiestKind {
+                build: m.build.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                size: m.size,
+                free,
+            }),
+        }
+    }
+
+    /// Whether a machine with room for a task of the job may exist.
+    fn may_hold(&self, spec: &JobSpec, zones: &BTreeMap<String, u32>) -> bool {
+        self.kinds.iter().any(|k| {
+            k.free.fits(&spec.need)
+                && spec.allows(&k.build, &k.zone, k.spot, &k.size)
+                && fleet::zone_ok(spec, &k.zone, zones)
+        })
+    }
+}
+
 impl Leader {
+    /// Adds up what the tasks take of machines on which they changed.
     pub(super) fn measure(&mut self) {
         let jobs = &self.jobs;
-        for m in self.machines.values_mut() {
-            m.used = m.tasks.keys().fold(Resources::default(), |u, t| {
-                u.plus(jobs.get(&t.job).map_or(Resources::default(), |r| r.spec.need))
-            });
-            // A task whose job is forgotten still takes room.
-            if m.tasks.keys().any(|t| !jobs.contains_key(&t.job)) {
-                m.used = m.size;
-            }
+        for m in self.machines.values_mut().filter(|m| m.stale) {
+            m.stale = false;
+            m.used = used(m, jobs);
         }
     }
 
     /// CPUs and GPUs of a team's bound tasks, wherever they may be.
     pub(super) fn team_use(&self, team: &str) -> (u64, u64) {
-        self.jobs.values().filter(|r| r.spec.team == team).fold((0, 0), |(c, g), r| {
-            let n = r.bound.len() as u64;
-            (c + n * r.spec.need.cpu, g + n * r.spec.need.gpu)
-        })
+        self.sums.teams.get(team).copied().unwrap_or_default()
     }
 
     pub(super) fn over_limit(&self, spec: &JobSpec) -> bool {
@@ -64,18 +120,46 @@
         zones
     }
 
-    pub(super) fn find(&self, run: &Run, zones: &BTreeMap<String, u32>, now: Micros) -> Option<MachineId> {
-        let mut zone_cpu: BTreeMap<&str, u64> = BTreeMap::new();
-        if run.spec.kind == Kind::Service {
-            for m in self.machines.values().filter(|m| !m.spot && m.stage != Stage::Deleting) {
-                *zone_cpu.entry(&m.zone).or_default() += m.size.cpu;
+    /// A machine that tasks may be handed to.
+    fn open(&self, m: &Machine, now: Micros) -> bool {
+        m.usable()
+            && m.holder.is_some_and(|h| self.in_contact(h, now))
+            && m.heard.is_some_and(|t| now.since(t) < Micros::secs(4))
+    }
+
+    fn roomiest(&self, now: Micros) -> Roomiest {
+        let mut r = Roomiest::default();
+        for m in self.machines.values() {
+            if !m.spot && m.stage != Stage::Deleting {
+                match r.zone_cpu.get_mut(&m.zone) {
+                    Some(z) => *z += m.size.cpu,
+                    None => drop(r.zone_cpu.insert(m.zone.clone(), m.size.cpu)),
+                }
+            }
+            if self.open(m, now) {
+                r.add(m);
             }
         }
+        r
+    }
+
+    fn find(
+        &self,
+        run: &Run,
+        zones: &BTreeMap<String, u32>,
+        most: &Roomiest,
+        now: Micros,
+    ) -> Option<MachineId> {
+        if !most.may_hold(&run.spec, zones) {
+            return None;
+        }
+        let zone_cpu = |z: &str| match run.spec.kind {
+            Kind::Service => most.zone_cpu.get(z).copied().unwrap_or(0),
+            Kind::Array => 0,
+        };
         self.machines
             .iter()
-            .filter(|(_, m)| m.usable())
-            .filter(|(_, m)| m.holder.is_some_and(|h| self.in_contact(h, now)))
-            .filter(|(_, m)| m.heard.is_some_and(|t| now.since(t) < Micros::secs(4)))
+            .filter(|(_, m)| m.size.minus(m.used).fits(&run.spec.need) && self.open(m, now))
             .filter(|(_, m)| m.kept_for.is_none_or(|(r, until)| run.spec.rank >= r || now >= until))
             .filter(|(id, _)| run.proven || !run.failed_on.contains(id) || run.failed_on.len() > 3)
             .filter(|(_, m)| fleet::zone_ok(&run.spec, &m.zone, zones))
@@ -87,7 +171,7 @@
                     size: &m.size,
                     free: m.free(),
                     image: m.images.contains(&run.spec.image),
-                    zone_cpu: zone_cpu.get(m.zone.as_str()).copied().unwrap_or(0),
+                    zone_cpu: zone_cpu(&m.zone),
                 };
                 // A machine on which something failed comes last.
                 Some(((m.failures > 0, placement::score(&run.spec, &c, None)?), id))
@@ -105,51 +189,67 @@
     /// by priority, and within it by the smallest eligible start tag.
     pub(super) fn schedule(&mut self, now: Micros) {
         self.measure();
+        let waiting = self.waiting_jobs(now);
+        if waiting.is_empty() {
+            return;
+        }
+        let most = self.roomiest(now);
         if self.ctx.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0) {
             for rank in RANKS {
-                self.serve_rank(rank, true, now);
+                self.serve_rank(rank, waiting.get(&rank), &most, true, now);
             }
         }
         for rank in RANKS {
-            self.serve_rank(rank, false, now);
+            self.serve_rank(rank, waiting.get(&rank), &most, false, now);
         }
     }
 
     /// Array tasks that are on machines or on their way.
     pub(super) fn array_slots(&self) -> u64 {
-        self.jobs.values().filter(|r| r.spec.kind == Kind::Array).map(|r| r.bound.len() as u64).sum()
+        self.sums.arrays
     }
 
-    /// The jobs of a priority that have a task to start, by team, in order.
-    fn waiting_jobs(&mut self, rank: Rank, now: Micros) -> BTreeMap<String, VecDeque<JobId>> {
+    /// The jobs that have a task to start, by priority and team, in order.
+    fn waiting_jobs(&mut self, now: Micros) -> Waiting {
         let wall_ms = self.wall_ms(now);
         let slots = self.array_slots();
-        let mut teams: BTreeMap<String, Vec<((bool, u64, u64), JobId)>> = BTreeMap::new();
-        let ids: Vec<JobId> =
-            self.jobs.iter().filter(|(_, r)| r.spec.rank == rank && !r.over).map(|(i, _)| *i).collect();
-        for id in ids {
-            let Some(run) = self.jobs.get_mut(&id) else { continue };
+        let unknown = self.machines.values().any(|m| m.unknown);
+        let mut waiting: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
+        let mut ready: Vec<JobId> = Vec::new();
+        for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over) {
             if run.retry_at > now {
                 self.dirty = true;
-                continue;
-            }
-            if run.peek().is_none() {
-                continue;
+            } else if run.peek().is_some() {
+                ready.push(*id);
             }
+        }
+        for id in ready {
             let Some(run) = self.jobs.get(&id) else { continue };
-            if !self.blocked(run) {
-                teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms, slots), id));
+            if unknown && self.blocked(run) {
+                continue;
             }
+            let teams = waiting.entry(run.spec.rank).or_default();
+            teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms, slots), id));
         }
         let sorted = |mut v: Vec<_>| {
             v.sort();
             v.into_iter().map(|(_, id)| id).collect()
         };
-        teams.into_iter().map(|(t, v)| (t, sorted(v))).collect()
+        let by_team = |teams: BTreeMap<String, Vec<_>>| {
+            teams.into_iter().map(|(t, v)| (t, sorted(v))).collect::<BTreeMap<_, _>>()
+        };
+        waiting.into_iter().map(|(rank, teams)| (rank, by_team(teams))).collect()
     }
 
-    fn serve_rank(&mut self, rank: Rank, guaranteed: bool, now: Micros) {
-        let mut teams = self.waiting_jobs(rank, now);
+    fn serve_rank(
+        &mut self,
+        rank: Rank,
+        waiting: Option<&BTreeMap<String, VecDeque<JobId>>>,
+        most: &Roomiest,
+        guaranteed: bool,
+        now: Micros,
+    ) {
+        let mut teams = waiting.cloned().unwrap_or_default();
         let mut queue = self.queues.remove(&rank).unwrap_or_default();
         let cost = self.ctx.operator.task_cost;
         for t in &self.ctx.teams {
@@ -161,7 +261,7 @@
             let Some(list) = teams.get_mut(&team) else { break };
             let mut served = false;
             while let Some(id) = list.front().copied() {
-                if self.serve_job(id, guaranteed, now) {
+                if self.serve_job(id, most, guaranteed, now) {
                     served = true;
                     break;
                 }
@@ -177,7 +277,7 @@
     }
 
     /// Hands out one task of a job; false if none can be now.
-    fn serve_job(&mut self, id: JobId, guaranteed: bool, now: Micros) -> bool {
+    fn serve_job(&mut self, id: JobId, most: &Roomiest, guaranteed: bool, now: Micros) -> bool {
         let Some(index) = self.jobs.get_mut(&id).and_then(Run::peek) else { return false };
         let Some(run) = self.jobs.get(&id) else { return false };
         if self.over_limit(&run.spec) || guaranteed && !self.within_guarantee(&run.spec) {
@@ -185,7 +285,7 @@
         }
         let may_preempt = (guaranteed || run.spec.rank == Rank::Production) && now >= run.room_until;
         let zones = self.zones_of(run);
-        match self.find(run, &zones, now) {
+        match self.find(run, &zones, most, now) {
             Some(machine) if self.better_with_image(id, &machine, now) => {
                 // Batch work that holds the room where the image is gives way:
                 // a fetch takes seconds.
@@ -244,17 +344,22 @@
         let Some(m) = self.machines.get(&hint) else { return };
         let (Some(node), zone) = (m.holder, m.zone.clone()) else { return };
         let Some(run) = self.jobs.get_mut(&task.job) else { return };
-        let machines: BTreeSet<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.holder == Some(node) && run.spec.allows(&m.build, &m.zone, m.spot, &m.size))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let all = &self.machines;
+        let machines = self
+            .blocks
+            .entry(node)
+            .or_insert_with(|| {
+                let held = all.iter().filter(|(_, m)| m.holder == Some(node));
+                Rc::new(held.map(|(id, _)| id.clone()).collect())
+            })
+            .clone();
         let incarnation = self.nodes.get(node.0 as usize).map_or(0, |n| n.incarnation);
         let fixed = run.spec.spread || run.spec.one_zone;
         let out = HandOut { task, attempt, zone: fixed.then(|| zone.clone()), hint: hint.clone() };
         let need = run.spec.need;
         run.again.remove(&task.index);
+        self.sums.bound(&run.spec);
+        self.handed.insert(task);
         run.bound.insert(
             task.index,
             Binding {
