--- a/src/core/controller.rs
+++ b/src/core/controller.rs
@@ -297,6 +297,19 @@
         CheckinReply::Orders(w.baton, orders)
     }
 
+    /// Stops what is over on a machine that this controller does not hold:
+    /// nothing else may be ordered there.
+    pub fn stops_for_stranger(tasks: &[Held], ledger: &Ledger) -> Vec<Order> {
+        let unwanted = |t: &&Held| !t.state.exited() && over(ledger.jobs.get(&t.task.job), t.task.index);
+        let halt = |t: &Held| Order {
+            verb: "halt".into(),
+            piece: t.task.to_string(),
+            attempt: t.attempt.0,
+            wind_down_s: Some(0.0),
+        };
+        tasks.iter().filter(unwanted).map(halt).collect()
+    }
+
     /// Orders for a machine; `answer` if they go out in a check-in's answer.
     fn orders(&mut self, id: &MachineId, ledger: &Ledger, answer: bool, may_start: bool) -> Vec<Order> {
         let acked = self.acked;
@@ -716,7 +729,7 @@
     }
 
     /// What the leader of `term` has not acknowledged of this controller's view.
-    pub fn sync(&mut self, term: u64, ledger: &Ledger, now: Micros) -> Message {
+    pub fn sync(&mut self, term: u64, strangers: Vec<MachineId>, ledger: &Ledger, now: Micros) -> Message {
         self.sync_seq += 1;
         let seq = self.sync_seq;
         self.sync_sent.insert(seq, now);
@@ -771,7 +784,7 @@
                 Outcome { attempt: *a, machine: p.machine.clone() }
             })
             .collect();
-        Message::Sync { term, seq, base, seen, machines, heard, outcomes }
+        Message::Sync { term, seq, base, seen, machines, heard, strangers, outcomes }
     }
 
     /// Whether the leader of `term` knows nothing of this controller yet.
--- a/src/core/leader/bindings.rs
+++ b/src/core/leader/bindings.rs
@@ -53,6 +53,12 @@
                 m.heard_at(now - *ago);
             }
         }
+        for id in view.strangers {
+            if let Some(m) = self.machines.get(id) {
+                let rec = m.record();
+                self.seen(from, id, &rec, &Sizes::new(), now);
+            }
+        }
     }
 
     pub(super) fn outcome(&mut self, from: NodeId, incarnation: u64, o: &Outcome) {
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -356,6 +356,8 @@
     pub machines: &'a [MachineState],
     /// Machines that were heard, and how long ago.
     pub heard: &'a [(MachineId, Micros)],
+    /// Machines of others whose workers report to it.
+    pub strangers: &'a [MachineId],
     /// Hand-outs that were decided on.
     pub outcomes: &'a [Outcome],
 }
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -83,7 +83,8 @@
     fn sync(&mut self, from: NodeId, machines: &[MachineState], outcomes: &[Outcome]) {
         let i = from.0 as usize;
         self.seq[i] += 1;
-        let view = View { seq: self.seq[i], base: 0, seen: 0, machines, heard: &[], outcomes };
+        let view =
+            View { seq: self.seq[i], base: 0, seen: 0, machines, heard: &[], strangers: &[], outcomes };
         self.leader.sync(from, self.incarnation[i], &view, &self.ledger, self.now);
     }
 
@@ -193,7 +194,15 @@
                 b.incarnation[0] += 1;
                 b.sync(A, &[], &[]);
                 let outcomes = [Outcome { attempt: a, machine: None }];
-                let view = View { seq: 99, base: 0, seen: 0, machines: &[], heard: &[], outcomes: &outcomes };
+                let view = View {
+                    seq: 99,
+                    base: 0,
+                    seen: 0,
+                    machines: &[],
+                    heard: &[],
+                    strangers: &[],
+                    outcomes: &outcomes,
+                };
                 b.leader.sync(A, 5, &view, &b.ledger, b.now);
             },
             false,
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -150,6 +150,13 @@
     ended_lease: Option<u64>,
     mail: BTreeMap<(NodeId, u8), Message>,
     mail_at: Micros,
+    mail_count: u64,
+    /// Letters of which parts have come, by the sender's process.
+    letters: BTreeMap<u64, (u64, String, usize)>,
+    /// Machines of others that reported here, when.
+    strangers: BTreeMap<MachineId, Micros>,
+    /// Workers that were sent to the holder of their machine, when.
+    redirected: BTreeMap<MachineId, Micros>,
 }
 
 const MAX_WAITING: usize = 2000;
@@ -225,6 +232,10 @@
             ended_lease: None,
             mail: BTreeMap::new(),
             mail_at: Micros(0),
+            mail_count: 0,
+            letters: BTreeMap::new(),
+            strangers: BTreeMap::new(),
+            redirected: BTreeMap::new(),
             operator,
             nodes,
         }
--- a/src/core/node/peers.rs
+++ b/src/core/node/peers.rs
@@ -1,5 +1,10 @@
 //! Messages between controllers, and their ways round a cut.
 use super::*;
+use data_encoding::BASE64;
+use serde::Deserialize;
+
+/// Room for a letter's text in one transaction, of the 64 KiB that one may have.
+const MAIL_ROOM: usize = 56_000;
 
 impl Node {
     pub(super) fn leader_node(&self) -> Option<NodeId> {
@@ -56,37 +61,67 @@
         self.peers.get(n.0 as usize).and_then(|p| p.heard).is_some_and(|t| self.now.since(t) < limit)
     }
 
-    /// Posts what no other way is left for, once a second.
+    /// Posts what no other way is left for, in as many parts as the values'
+    /// limit asks for, as often as a small part of the budget allows.
     pub(super) fn post(&mut self) {
-        if self.mail.is_empty() || self.now.since(self.mail_at) < Micros::millis(1000) || !self.state_ok() {
-            return;
-        }
-        if !self.user_bucket.take(self.now, 1.0, 1.0) {
+        if self.mail.is_empty() || self.now < self.mail_at || !self.state_ok() {
             return;
         }
-        self.mail_at = self.now;
         let me = self.nodes.names[self.nodes.me.0 as usize].clone();
+        let room = self.value_limit.saturating_sub(100).min(MAIL_ROOM / self.limits.0.max(1)).max(100);
+        let mut posted = 0;
         for ((to, _), message) in std::mem::take(&mut self.mail) {
             if self.hears(to, Micros::millis(1700)) {
                 continue;
             }
             let parcel = Parcel { from: self.nodes.me, incarnation: self.incarnation, message }.pack();
-            let text: String = parcel.iter().map(|b| format!("{b:02x}")).collect();
-            if text.len() + 64 > self.value_limit {
+            let text = BASE64.encode(&parcel);
+            let parts: Vec<&str> =
+                text.as_bytes().chunks(room).filter_map(|c| std::str::from_utf8(c).ok()).collect();
+            if parts.len() > self.limits.0 {
                 debug!("message to controller {} is too long for the state service", to.0);
                 continue;
             }
-            let put = keys::mail(&self.nodes.names[to.0 as usize], &me);
-            let m = Multi { when: Vec::new(), writes: vec![Write::Put { put, v: json!(text), hold: None }] };
-            let call = self.multi(&m);
+            if !self.user_bucket.take(self.now, parts.len() as f64, 1.0) {
+                continue;
+            }
+            self.mail_count += 1;
+            posted += parts.len();
+            let to = &self.nodes.names[to.0 as usize];
+            let put = |(i, part): (usize, &&str)| Write::Put {
+                put: keys::mail(to, &format!("{me}/{i}")),
+                v: json!([self.incarnation, self.mail_count, i, parts.len(), part]),
+                hold: None,
+            };
+            let writes = parts.iter().enumerate().map(put).collect();
+            let call = self.multi(&Multi { when: Vec::new(), writes });
             self.calls.insert(call, Purpose::Mail);
         }
+        // A seventh of all changes, shared by those who may be in the same need.
+        let share = self.limits.2 / 7.0 / self.nodes.names.len() as f64;
+        let pause = Micros::from_secs_f64(posted as f64 / share.max(0.1));
+        self.mail_at = self.now + pause.clamp(Micros::millis(400), Micros::millis(1500));
     }
 
+    /// A part of a letter; all parts of one come together and in order.
     pub(super) fn open_mail(&mut self, v: &serde_json::Value) {
-        let Some(text) = v.as_str() else { return };
-        let bytes: Option<Vec<u8>> =
-            (0..text.len() / 2).map(|i| u8::from_str_radix(text.get(i * 2..i * 2 + 2)?, 16).ok()).collect();
+        let Ok((sender, number, i, n, text)) = <(u64, u64, usize, usize, String)>::deserialize(v) else {
+            return;
+        };
+        let letter = self.letters.entry(sender).or_default();
+        if i == 0 {
+            *letter = (number, String::new(), 0);
+        }
+        if letter.0 != number || letter.2 != i {
+            return;
+        }
+        letter.1.push_str(&text);
+        letter.2 += 1;
+        if letter.2 < n {
+            return;
+        }
+        let (_, text, _) = self.letters.remove(&sender).unwrap_or_default();
+        let bytes = BASE64.decode(text.as_bytes()).ok();
         if let Some(p) = bytes.and_then(|b| Parcel::unpack(&b)) {
             self.peer(p.from, p.incarnation, p.message);
         }
@@ -110,10 +145,17 @@
                     }
                 }
             }
-            Message::Sync { term, seq, base, seen, machines, heard, outcomes } => {
+            Message::Sync { term, seq, base, seen, machines, heard, strangers, outcomes } => {
                 if let Some(l) = self.leader.as_mut().filter(|l| l.term == term) {
-                    let view =
-                        View { seq, base, seen, machines: &machines, heard: &heard, outcomes: &outcomes };
+                    let view = View {
+                        seq,
+                        base,
+                        seen,
+                        machines: &machines,
+                        heard: &heard,
+                        strangers: &strangers,
+                        outcomes: &outcomes,
+                    };
                     l.sync(from, incarnation, &view, &self.ledger, self.now);
                 }
             }
@@ -189,7 +231,10 @@
             return;
         }
         self.sync_at = self.now;
-        let m = self.ctl.sync(term, &self.ledger, self.now);
+        let recent = self.now - Micros::millis(2500);
+        self.strangers.retain(|_, t| *t > recent);
+        let strangers = self.strangers.keys().cloned().collect();
+        let m = self.ctl.sync(term, strangers, &self.ledger, self.now);
         self.send(to, m);
     }
 }
--- a/src/core/node/workers.rs
+++ b/src/core/node/workers.rs
@@ -23,13 +23,13 @@
                     addr: r.addr.clone(),
                 };
                 self.tell_seen(&machine, rec);
-                match to.filter(|n| *n != self.nodes.me) {
-                    Some(n) => self.send_elsewhere(id, Some(n)),
+                match self.holder_to_name(&machine, to) {
+                    Some(n) => self.send_elsewhere(id, n),
                     // A grant may come in a moment: the answer waits for it.
                     None => {
                         let until = self.now + Micros::millis(600);
-                        if let Some((old, ..)) = self.held_checkins.insert(machine, (id, r, until)) {
-                            self.send_elsewhere(old, None);
+                        if let Some((old, r, _)) = self.held_checkins.insert(machine, (id, r, until)) {
+                            self.keep_alive(old, &r);
                         }
                     }
                 }
@@ -38,8 +38,35 @@
         self.drive();
     }
 
-    pub(super) fn send_elsewhere(&mut self, id: RequestId, to: Option<NodeId>) {
-        let body = match to.and_then(|n| self.nodes.names.get(n.0 as usize)) {
+    /// The holder that a worker is sent to, unless it was sent there just now
+    /// and came back: it can't reach it.
+    fn holder_to_name(&mut self, machine: &MachineId, holder: Option<NodeId>) -> Option<NodeId> {
+        let n = holder.filter(|n| *n != self.nodes.me && self.hears(*n, Micros::millis(1700)))?;
+        let now = self.now;
+        self.redirected.retain(|_, t| now.since(*t) < Micros::secs(12));
+        match self.redirected.get(machine) {
+            Some(t) if now.since(*t) > Micros::millis(1500) => None,
+            Some(_) => Some(n),
+            None => {
+                self.redirected.insert(machine.clone(), now);
+                Some(n)
+            }
+        }
+    }
+
+    /// Renews the lease of a worker whose machine this node does not hold, and
+    /// whose holder it does not know or the worker can't reach: with the token
+    /// that the worker showed, so that nothing is started and a newer grant is
+    /// not touched. Only what is over is stopped.
+    fn keep_alive(&mut self, id: RequestId, r: &Report) {
+        let tasks = read_tasks(r).unwrap_or_default();
+        let orders = Controller::stops_for_stranger(&tasks, &self.ledger);
+        let body = serde_json::to_vec(&CheckinAnswer { baton: r.baton, orders }).unwrap_or_default();
+        self.out.answer(id, 200, body);
+    }
+
+    pub(super) fn send_elsewhere(&mut self, id: RequestId, to: NodeId) {
+        let body = match self.nodes.names.get(to.0 as usize) {
             Some(name) => json!({ "foreman": name }),
             None => json!({}),
         };
@@ -47,7 +74,11 @@
     }
 
     pub(super) fn tell_seen(&mut self, id: &MachineId, rec: MachineRecord) {
-        if let Some(to) = self.leader_node() {
+        if self.ledger.machines.contains_key(id) {
+            // The leader knows it: the next `Sync` names it.
+            self.strangers.insert(id.clone(), self.now);
+            self.ctl.dirty = true;
+        } else if let Some(to) = self.leader_node() {
             let m = Message::Seen {
                 id: id.clone(),
                 build: rec.build,
@@ -75,7 +106,10 @@
                         serde_json::to_vec(&CheckinAnswer { baton: baton.0, orders }).unwrap_or_default();
                     self.out.answer(id, 200, body);
                 }
-                CheckinReply::Elsewhere(to) => self.send_elsewhere(id, to.filter(|n| *n != self.nodes.me)),
+                CheckinReply::Elsewhere(to) => match self.holder_to_name(&m, to) {
+                    Some(n) => self.send_elsewhere(id, n),
+                    None => self.keep_alive(id, &r),
+                },
             }
         }
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -150,6 +150,9 @@
         machines: Vec<MachineState>,
         /// Machines that were heard and did not change, and how long ago.
         heard: Vec<(MachineId, Micros)>,
+        /// Recorded machines whose workers lately reported to the sender, which
+        /// does not hold them.
+        strangers: Vec<MachineId>,
         /// Hand-outs that the leader has not acknowledged.
         outcomes: Vec<Outcome>,
     },
