--- a/src/core/leader/bindings.rs
+++ b/src/core/leader/bindings.rs
@@ -136,8 +136,9 @@
         }
         let token = m.baton;
         for (task, (attempt, state)) in &here {
-            if *state == TaskState::Running {
-                m.started.entry(*task).or_insert(now);
+            if *state == TaskState::Running && !m.started.contains_key(task) {
+                debug!("{task}: runs on {}", s.id);
+                m.started.insert(*task, now);
             }
             let Some(spec) = ledger.jobs.get(&task.job).and_then(|j| j.spec.clone()) else { continue };
             m.images.insert(spec.image.clone());
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -17,7 +17,7 @@
 use crate::peer::{GrantedMachine, HandOut, MachineState, Message, Outcome, StopRequest, TaskState};
 use crate::settings::{Objective, Operator, Team};
 use crate::wire::cloud::{Flavor, Rental};
-use log::{info, warn};
+use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
--- a/src/core/leader/schedule.rs
+++ b/src/core/leader/schedule.rs
@@ -354,6 +354,8 @@
             })
             .clone();
         let incarnation = self.nodes.get(node.0 as usize).map_or(0, |n| n.incarnation);
+        let image = if m.images.contains(&run.spec.image) { "has" } else { "fetches" };
+        debug!("{task}: handed out for {hint}, which {image} its image, attempt {}", attempt.0);
         let fixed = run.spec.spread || run.spec.one_zone;
         let out = HandOut { task, attempt, zone: fixed.then(|| zone.clone()), hint: hint.clone() };
         let need = run.spec.need;
