--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -277,8 +277,6 @@
 pub enum Change {
     /// A job's record, progress or end.
     Job(JobId),
-    /// A machine.
-    Machine(MachineId),
     /// The leader's key.
     Leader,
     /// A message for the node of this name.
@@ -296,6 +294,8 @@
     pub const LEADER: &str = "g/leader";
     /// The last term.
     pub const TERM: &str = "g/term";
+    /// Records of several machines start with this.
+    pub const MACHINES: &str = "g/h/";
     /// The last rental request's name.
     pub const HIRE: &str = "g/hire";
     /// A job.
@@ -314,10 +314,14 @@
     pub fn mail(to: &str, from: &str) -> String {
         format!("g/c/{to}/{from}")
     }
-    /// A machine.
+    /// A machine, as versions before 2 recorded it; still read.
     pub fn machine(id: &MachineId) -> String {
         format!("g/m/{id}")
     }
+    /// Machines of one kind that were recorded together, by the first one.
+    pub fn machines(first: &MachineId) -> String {
+        format!("{MACHINES}{first}")
+    }
 }
 
 /// A job's record.
@@ -325,6 +329,21 @@
     json!({"d": spec.to_value(), "at": submitted_ms})
 }
 
+/// The record of machines of one kind: type, zone, kind, and for each its name
+/// and its worker's address.
+pub fn machines_value<'a>(
+    kind: (&str, &str, bool),
+    machines: impl Iterator<Item = (&'a MachineId, &'a str)>,
+) -> Value {
+    let list: Vec<[&str; 2]> = machines.map(|(id, addr)| [id.as_str(), addr]).collect();
+    json!({"t": kind.0, "z": kind.1, "s": kind.2, "m": list})
+}
+
+/// What a machine takes in such a record, about.
+pub fn machine_room(id: &MachineId, addr: &str) -> usize {
+    id.as_str().len() + addr.len() + 10
+}
+
 /// The mirror.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -332,6 +351,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Machines.
     pub machines: BTreeMap<MachineId, MachineRecord>,
+    /// Which machines each key holds, and its version.
+    pub records: BTreeMap<String, (Vec<MachineId>, u64)>,
     /// The leader's key and its version.
     pub leader: Option<(LeaderRecord, u64)>,
     /// The term and its version.
@@ -359,13 +380,19 @@
         let Some(rest) = path.strip_prefix(keys::ROOT) else { return Change::Other };
         let Some((space, name)) = rest.split_once('/') else { return Change::Other };
         match space {
+            "h" => {
+                self.take_machines(path, value.and_then(|v| Batch::deserialize(v).ok()), stamp);
+                Change::Other
+            }
             "m" => {
-                let id = MachineId::from(name);
-                match value.and_then(|v| MachineRecord::deserialize(v).ok()) {
-                    Some(r) => self.machines.insert(id.clone(), r),
-                    None => self.machines.remove(&id),
-                };
-                Change::Machine(id)
+                let one = value.and_then(|v| MachineRecord::deserialize(v).ok()).map(|r| Batch {
+                    build: r.build,
+                    zone: r.zone,
+                    spot: r.spot,
+                    machines: vec![(name.to_owned(), r.addr)],
+                });
+                self.take_machines(path, one, stamp);
+                Change::Other
             }
             "j" => {
                 let (Some(id), Some(v)) = (JobId::parse(name), value) else { return Change::Other };
@@ -421,6 +448,42 @@
     }
 }
 
+#[derive(Deserialize)]
+struct Batch {
+    #[serde(rename = "t")]
+    build: String,
+    #[serde(rename = "z")]
+    zone: String,
+    #[serde(rename = "s")]
+    spot: bool,
+    #[serde(rename = "m")]
+    machines: Vec<(String, String)>,
+}
+
+impl Ledger {
+    /// What a key says of machines, in place of what it said before.
+    fn take_machines(&mut self, key: &str, batch: Option<Batch>, stamp: u64) {
+        let (old, _) = self.records.remove(key).unwrap_or_default();
+        let mut ids = Vec::new();
+        if let Some(b) = batch {
+            for (name, addr) in b.machines {
+                let id = MachineId::from(&*name);
+                let (build, zone) = (b.build.clone(), b.zone.clone());
+                self.machines.insert(id.clone(), MachineRecord { build, zone, spot: b.spot, addr });
+                ids.push(id);
+            }
+            self.records.insert(key.to_owned(), (ids.clone(), stamp));
+        }
+        // A write whose answer was lost may have been repeated under another
+        // key: a machine is forgotten when no key holds it.
+        for id in old.into_iter().filter(|id| !ids.contains(id)) {
+            if !self.records.values().any(|(v, _)| v.contains(&id)) {
+                self.machines.remove(&id);
+            }
+        }
+    }
+}
+
 impl Job {
     fn empty() -> Self {
         Job {
@@ -456,6 +519,32 @@
         }
     }
 
+    #[test]
+    fn machines_are_known_while_a_key_holds_them() {
+        let batch = |names: &[&str]| {
+            let ids: Vec<MachineId> = names.iter().map(|n| MachineId::from(*n)).collect();
+            machines_value(("big", "east", true), ids.iter().map(|id| (id, "addr")))
+        };
+        let mut l = Ledger::default();
+        // (key, what it holds from now on, machines known then)
+        let steps: [(&str, Option<Value>, &[&str]); 7] = [
+            ("g/h/a", Some(batch(&["a", "b"])), &["a", "b"]),
+            ("g/m/old", Some(json!({"t":"big","z":"east","s":false,"a":"x"})), &["a", "b", "old"]),
+            // Written again with another after its answer was lost.
+            ("g/h/b", Some(batch(&["b", "c"])), &["a", "b", "c", "old"]),
+            ("g/h/a", Some(batch(&["a"])), &["a", "b", "c", "old"]),
+            ("g/h/b", Some(batch(&["c"])), &["a", "c", "old"]),
+            ("g/m/old", None, &["a", "c"]),
+            ("g/h/a", None, &["c"]),
+        ];
+        for (key, value, known) in steps {
+            l.apply(key, value.as_ref(), 1);
+            let names: Vec<&str> = l.machines.keys().map(|id| id.as_str()).collect();
+            assert_eq!(names, known, "{key}");
+        }
+        assert_eq!(l.machines[&MachineId::from("c")].addr, "addr");
+    }
+
     #[test]
     fn an_end_is_kept_whatever_comes_after() {
         let mut l = Ledger::default();
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -47,6 +47,8 @@
     pub stage: Stage,
     since: Micros,
     recorded: bool,
+    /// Its record is being written.
+    recording: bool,
     /// Recorded before this term: it may hold tasks that nobody told of yet.
     unknown: bool,
     holder: Option<NodeId>,
@@ -92,6 +94,7 @@
             stage,
             since: now,
             recorded: false,
+            recording: false,
             unknown: false,
             holder: None,
             last_holder: None,
@@ -307,14 +310,14 @@
 pub enum LeaderWrite {
     /// A job is done.
     End(JobId),
-    /// A machine may be started on.
-    Machine(MachineId),
+    /// Machines of one kind may be started on.
+    Machines(Vec<MachineId>),
     /// A rental request's name.
     Hire(String),
     /// Progress of a job.
     Progress(JobId, u32),
-    /// A machine is gone.
-    Forget(MachineId),
+    /// Machines of the record with this key are gone.
+    Forget(String),
 }
 
 /// A call to the cloud that the leader wants.
--- a/src/core/leader/records.rs
+++ b/src/core/leader/records.rs
@@ -1,9 +1,11 @@
 //! What the leader records.
 use super::*;
+use crate::core::jobs::{machine_room, machines_value};
+use serde_json::Value;
 
 impl Leader {
     /// What should be written, most urgent first.
-    pub fn writes(&self, ledger: &Ledger, now: Micros) -> Vec<LeaderWrite> {
+    pub fn writes(&self, ledger: &Ledger, value_limit: usize, now: Micros) -> Vec<LeaderWrite> {
         let mut v = Vec::new();
         let active = |id: &JobId| ledger.jobs.get(id).is_some_and(|j| j.phase == Phase::Active);
         for (id, r) in &self.jobs {
@@ -12,11 +14,17 @@
             }
         }
         v.sort();
+        let mut kinds: BTreeMap<(&str, &str, bool), (usize, Vec<MachineId>)> = BTreeMap::new();
         for (id, m) in &self.machines {
-            if m.stage == Stage::Up && !m.recorded {
-                v.push(LeaderWrite::Machine(id.clone()));
+            if m.stage == Stage::Up && !m.recorded && !m.recording {
+                let (room, list) = kinds.entry((&m.build, &m.zone, m.spot)).or_default();
+                *room += machine_room(id, &m.addr);
+                if *room < value_limit.saturating_sub(200) || list.is_empty() {
+                    list.push(id.clone());
+                }
             }
         }
+        v.extend(kinds.into_values().map(|(_, list)| LeaderWrite::Machines(list)));
         for (name, (_, stage, _)) in &self.hires {
             if *stage == HireStage::ToRecord {
                 v.push(LeaderWrite::Hire(name.clone()));
@@ -35,17 +43,39 @@
                 v.extend(chunks.into_iter().map(|c| LeaderWrite::Progress(*id, c)));
             }
         }
-        for id in ledger.machines.keys() {
-            if self.gone.contains_key(id) {
-                v.push(LeaderWrite::Forget(id.clone()));
+        for (key, (ids, _)) in &ledger.records {
+            if ids.iter().any(|id| self.gone.contains_key(id)) {
+                v.push(LeaderWrite::Forget(key.clone()));
             }
         }
         v
     }
 
-    /// A machine's record.
-    pub fn machine(&self, id: &MachineId) -> Option<&Machine> {
-        self.machines.get(id)
+    /// The record of machines of one kind; those that are gone are left out,
+    /// and `None` if none is left.
+    pub fn machines_record(&self, ids: &[MachineId], ledger: &Ledger) -> Option<Value> {
+        let there: Vec<(&MachineId, MachineRecord)> = ids
+            .iter()
+            .filter(|id| !self.gone.contains_key(*id))
+            .filter_map(|id| {
+                let known = self.machines.get(id).map(Machine::record);
+                Some((id, known.or_else(|| ledger.machines.get(id).cloned())?))
+            })
+            .collect();
+        let (_, first) = there.first()?;
+        let kind = (first.build.as_str(), first.zone.as_str(), first.spot);
+        Some(machines_value(kind, there.iter().map(|(id, r)| (*id, r.addr.as_str()))))
+    }
+
+    /// A write is under way, or (`open` false) it failed.
+    pub fn writing(&mut self, w: &LeaderWrite, open: bool) {
+        if let LeaderWrite::Machines(ids) = w {
+            for id in ids {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.recording = open;
+                }
+            }
+        }
     }
 
     /// The text of a progress record.
@@ -57,11 +87,13 @@
     pub fn written(&mut self, w: &LeaderWrite) {
         self.dirty = true;
         match w {
-            LeaderWrite::Machine(id) => {
-                if let Some(m) = self.machines.get_mut(id) {
-                    m.recorded = true;
-                    self.blocks_at = Micros(0);
+            LeaderWrite::Machines(ids) => {
+                for id in ids {
+                    if let Some(m) = self.machines.get_mut(id) {
+                        m.recorded = true;
+                    }
                 }
+                self.blocks_at = Micros(0);
             }
             LeaderWrite::Hire(name) => {
                 if let Some(h) = self.hires.get_mut(name)
@@ -79,6 +111,19 @@
         }
     }
 
+    /// Machines whose record turned up after its write was given up.
+    pub fn note_recorded(&mut self, ledger: &Ledger) {
+        let mut news = false;
+        for (id, m) in self.machines.iter_mut().filter(|(_, m)| m.stage == Stage::Up && !m.recorded) {
+            m.recorded = ledger.machines.contains_key(id);
+            news |= m.recorded;
+        }
+        if news {
+            self.blocks_at = Micros(0);
+            self.dirty = true;
+        }
+    }
+
     /// Progress that came in while a record was being written.
     pub fn note_unrecorded(&mut self, ledger: &Ledger, now: Micros) {
         for (id, r) in self.jobs.iter_mut() {
--- a/src/core/node/duties.rs
+++ b/src/core/node/duties.rs
@@ -242,6 +242,7 @@
         if may {
             l.tick(&self.ledger, self.now);
             l.note_unrecorded(&self.ledger, self.now);
+            l.note_recorded(&self.ledger);
         } else {
             l.stop_cancelled(&self.ledger, self.now);
         }
@@ -262,7 +263,7 @@
         }
         let Some(l) = &self.leader else { return };
         let todo: Vec<LeaderWrite> = l
-            .writes(&self.ledger, self.now)
+            .writes(&self.ledger, self.value_limit, self.now)
             .into_iter()
             .filter(|w| !self.leader_inflight.contains(w))
             .collect();
@@ -286,7 +287,7 @@
             }
             // Progress and clearing up leave room for what users wait for.
             let keep = match w {
-                LeaderWrite::End(_) | LeaderWrite::Machine(_) | LeaderWrite::Hire(_) => 0.0,
+                LeaderWrite::End(_) | LeaderWrite::Machines(_) | LeaderWrite::Hire(_) => 0.0,
                 LeaderWrite::Progress(..) => 1.0,
                 LeaderWrite::Forget(_) => 2.0,
             };
@@ -303,9 +304,14 @@
                     }
                     put(keys::end(*id), json!({"end": "done", "at": self.wall_ms}), &mut m)
                 }
-                LeaderWrite::Machine(id) => {
-                    let Some(rec) = l.machine(id).map(|x| x.record()) else { continue };
-                    put(keys::machine(id), json!(rec), &mut m)
+                LeaderWrite::Machines(ids) => {
+                    let (Some(first), Some(v)) = (ids.first(), l.machines_record(ids, &self.ledger)) else {
+                        continue;
+                    };
+                    // A late repetition must not undo what was written since.
+                    let key = keys::machines(first);
+                    m.when.push(When { path: key.clone(), stamp: 0 });
+                    put(key, v, &mut m)
                 }
                 LeaderWrite::Hire(name) => put(keys::HIRE.into(), json!(name), &mut m),
                 LeaderWrite::Progress(id, chunk) => {
@@ -317,9 +323,16 @@
                     m.when.push(When { path: keys::end(*id), stamp: 0 });
                     put(key, json!(text), &mut m)
                 }
-                LeaderWrite::Forget(id) => {
-                    m.writes.push(Write::Remove { remove: keys::machine(id) });
-                    true
+                LeaderWrite::Forget(key) => {
+                    let Some((ids, stamp)) = self.ledger.records.get(key) else { continue };
+                    m.when.push(When { path: key.clone(), stamp: *stamp });
+                    match l.machines_record(ids, &self.ledger).filter(|_| key.starts_with(keys::MACHINES)) {
+                        Some(v) => put(key.clone(), v, &mut m),
+                        None => {
+                            m.writes.push(Write::Remove { remove: key.clone() });
+                            true
+                        }
+                    }
                 }
             };
             // One name a transaction: they share a key.
@@ -334,6 +347,9 @@
         if taken.is_empty() {
             return;
         }
+        if let Some(l) = self.leader.as_mut() {
+            taken.iter().for_each(|w| l.writing(w, true));
+        }
         self.leader_inflight.extend(taken.iter().cloned());
         self.leader_txns += 1;
         let id = self.multi(&m);
@@ -345,6 +361,7 @@
         self.leader_txns = self.leader_txns.saturating_sub(1);
         for w in &writes {
             self.leader_inflight.remove(w);
+            l.writing(w, false);
         }
         match result {
             CallResult::Answer { status: 200, .. } => {
