--- a/src/core/leader/blocks.rs
+++ b/src/core/leader/blocks.rs
@@ -171,56 +171,56 @@
     }
 
     pub(super) fn watch_silent(&mut self, now: Micros) {
-        let limit = self.ctx.operator.silent_delete;
         let mut doomed = Vec::new();
         let mut probes = Vec::new();
-        let mut visible: BTreeSet<String> = BTreeSet::new();
-        let mut per_holder: BTreeMap<NodeId, (u32, u32)> = BTreeMap::new();
+        // A cut between zones looks like the death of all machines behind it,
+        // one after the other as their reports fall due. A machine is taken for
+        // dead quickly only on proof that the way is open: its holder heard
+        // another machine of the zone after this one's report was overdue.
+        let mut latest: BTreeMap<(NodeId, &str), (Micros, u32)> = BTreeMap::new();
+        let mut zone_latest: BTreeMap<&str, Micros> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.stage == Stage::Up) {
-            let fresh = m.heard.is_some_and(|t| now.since(t) < Micros::millis(3500));
-            if let Some(h) = m.holder {
-                let (held, heard) = per_holder.entry(h).or_default();
-                *held += 1;
-                *heard += fresh as u32;
-                if fresh && self.in_contact(h, now) {
-                    visible.insert(m.zone.clone());
-                }
+            let (Some(h), Some(t)) = (m.holder, m.heard) else { continue };
+            if !self.in_contact(h, now) {
+                continue;
             }
+            let (last, n) = latest.entry((h, &m.zone)).or_default();
+            *last = (*last).max(t);
+            *n += 1;
+            let last = zone_latest.entry(&m.zone).or_default();
+            *last = (*last).max(t);
         }
-        // The first machine heard again after a cut shows its zone; the others
-        // get their time from then on.
-        self.visible_since.retain(|z, _| visible.contains(z));
-        for z in visible {
-            self.visible_since.entry(z).or_insert(now);
-        }
+        let overdue = self.ctx.report.scale(5, 4) + Micros::secs(1);
         for (id, m) in &self.machines {
             if m.stage != Stage::Up {
                 continue;
             }
             // A holder that was out of contact first gets to say what it heard.
             let contact = m.holder.map_or(Micros(0), |h| self.nodes[h.0 as usize].contact_since);
-            let spoke = (contact + Micros::secs(3)) - self.ctx.operator.silent_delete;
+            let limit = self.ctx.operator.silent_delete;
+            let spoke = (contact + Micros::secs(3)) - limit;
             let base = m.heard.unwrap_or(m.since).max(self.began).max(spoke);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
             if silent > Micros::millis(3200) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
                 probes.push(id.clone());
             }
-            // A cut between zones looks like the death of all machines behind
-            // it. A machine is taken for dead quickly only if its zone can be
-            // heard: by the holder, if that is in the zone itself, or because
-            // another machine there was heard just now.
+            let open = base + overdue;
+            let (here, held) =
+                m.holder.and_then(|h| latest.get(&(h, m.zone.as_str()))).copied().unwrap_or_default();
             let near =
                 m.holder.is_some_and(|h| self.in_contact(h, now) && self.ctx.zones[h.0 as usize] == m.zone);
-            let (held, heard) = m.holder.and_then(|h| per_holder.get(&h)).copied().unwrap_or((0, 0));
-            let limit = if near && held >= 2 && heard == 0 {
-                // The holder hears none of its machines: it may be the one
-                // that is cut off, and the workers turn to others soon.
-                limit.scale(2, 1)
-            } else if near {
+            let zone = zone_latest.get(m.zone.as_str()).copied().unwrap_or_default();
+            let limit = if here >= open || near && held < 2 {
                 limit
-            } else if let Some(since) = self.visible_since.get(&m.zone) {
-                limit.max(silent - now.since(*since) + limit)
+            } else if near {
+                // The holder hears none of its machines: it may be the one that
+                // is cut off, and the workers turn to others soon.
+                limit.scale(2, 1)
+            } else if zone >= open {
+                // Others hear the zone: its workers turn to them one after the
+                // other, each after a few that do not answer.
+                limit.scale(4, 1)
             } else {
                 Micros::secs(60)
             };
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -446,8 +446,6 @@
     stops_at: Micros,
     counted: Micros,
     probes: Vec<(NodeId, MachineId, String)>,
-    /// Zones of which machines are heard, since when.
-    visible_since: BTreeMap<String, Micros>,
     last_seen: BTreeMap<MachineId, (NodeId, Micros)>,
 }
 
@@ -503,7 +501,6 @@
             stops_at: Micros(0),
             counted: Micros(0),
             probes: Vec::new(),
-            visible_since: BTreeMap::new(),
             last_seen: BTreeMap::new(),
         };
         for (id, rec) in &ledger.machines {
