--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -37,6 +37,8 @@
     pub size: Resources,
     /// Free room.
     pub free: Resources,
+    /// CPUs that work of lower priority takes, which replicas may stop.
+    pub lent: u64,
 }
 
 /// Waiting tasks of a job.
@@ -73,6 +75,9 @@
     pub running_arrays: f64,
     /// Most machines to add.
     pub max_new: usize,
+    /// CPUs of room for replicas that should be there in each zone, in
+    /// thousandths: those that come don't wait for a machine to boot.
+    pub spare: BTreeMap<String, u64>,
 }
 
 /// Decides what to rent; `demands` come in the order in which they are served.
@@ -91,7 +96,7 @@
     for r in rooms.iter().filter(|r| !r.spot) {
         *zone_cpu.entry(r.zone.clone()).or_default() += r.size.cpu;
     }
-    rooms.retain(|r| r.free.cpu > 0);
+    rooms.retain(|r| r.free.cpu > 0 || r.lent > 0 && !r.spot);
     for d in demands {
         let mut zones = d.zones.clone();
         let left = d.waiting - fill(&mut rooms, &zone_cpu, &d.spec, &mut zones, d.waiting);
@@ -142,6 +147,7 @@
                 spot: o.spot,
                 size: o.size,
                 free: o.size,
+                lent: 0,
             };
             left -= put(&mut room, &spec, &mut zones, left);
             rooms.push(room);
@@ -150,6 +156,19 @@
             added += 1;
         }
     }
+    for (zone, target) in &policy.spare {
+        let ordinary = rooms.iter().filter(|r| !r.spot && r.zone == *zone);
+        let mut there: u64 = ordinary.map(|r| r.free.cpu + r.lent).sum();
+        while there < *target && added < policy.max_new {
+            let gap = (target - there) as f64;
+            let cost = |o: &Offer| o.price * (1.0 + o.boot_s / 120.0) / gap.min(o.size.cpu as f64);
+            let here = offers.iter().filter(|o| !o.refused && !o.spot && o.zone == *zone && o.size.cpu > 0);
+            let Some(o) = here.min_by(|a, b| cost(a).total_cmp(&cost(b))) else { break };
+            there += o.size.cpu;
+            *wants.entry(Want { build: o.build.clone(), zone: zone.clone(), spot: false }).or_default() += 1;
+            added += 1;
+        }
+    }
     wants
 }
 
@@ -267,7 +286,8 @@
             (vec![demand("array", 1, 99.0, true, false)], 0.0, vec![]),
         ];
         for (i, (demands, running, wanted)) in cases.into_iter().enumerate() {
-            let policy = Policy { drain_s: 30.0, running_arrays: running, max_new: 50 };
+            let policy =
+                Policy { drain_s: 30.0, running_arrays: running, max_new: 50, spare: BTreeMap::new() };
             let got = plan(Vec::new(), &demands, &offers, &policy);
             assert_eq!(got.into_iter().collect::<Vec<_>>(), wanted, "case {i}");
         }
@@ -276,7 +296,7 @@
     #[test]
     fn a_job_that_nothing_there_fits_is_not_left_waiting() {
         let offers = [offer("small", "a", false, 4.0, 0.16)];
-        let policy = Policy { drain_s: 30.0, running_arrays: 100.0, max_new: 50 };
+        let policy = Policy { drain_s: 30.0, running_arrays: 100.0, max_new: 50, spare: BTreeMap::new() };
         for (starving, machines) in [(false, 0), (true, 1)] {
             let mut d = demand("array", 3, 4.0, false, false);
             d.starving = starving;
@@ -285,12 +305,53 @@
         }
     }
 
+    #[test]
+    fn room_for_replicas_that_come_is_rented_ahead() {
+        let offers = [
+            offer("small", "a", false, 4.0, 0.16),
+            offer("big", "a", false, 64.0, 2.0),
+            offer("small", "a", true, 4.0, 0.04),
+            offer("small", "b", false, 4.0, 0.16),
+        ];
+        let room = |free: f64, lent: u64, spot| Room {
+            build: "big".into(),
+            zone: "a".into(),
+            spot,
+            size: offers[1].size,
+            free: Resources::have(free, 0.0, 64.0),
+            lent,
+        };
+        // (room there, target in CPUs, machines rented in zone a by type)
+        let cases: [(Vec<Room>, u64, &[(&str, u32)]); 6] = [
+            (vec![], 0, &[]),
+            (vec![], 6, &[("small", 2)]),
+            (vec![room(6.0, 0, false)], 6, &[]),
+            // Batch work gives way to replicas; spot machines don't hold them.
+            (vec![room(0.0, 6000, false)], 6, &[]),
+            (vec![room(6.0, 6000, true)], 6, &[("small", 2)]),
+            (vec![], 60, &[("big", 1)]),
+        ];
+        for (rooms, target, want) in cases {
+            let spare = BTreeMap::from([("a".to_owned(), target * 1000)]);
+            let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
+            let got = plan(rooms, &[], &offers, &policy);
+            let got: Vec<(&str, u32)> = got.iter().map(|(w, n)| (w.build.as_str(), *n)).collect();
+            assert_eq!(got, want, "{target}");
+        }
+    }
+
     #[test]
     fn booting_room_counts() {
         let o = [offer("small", "a", true, 4.0, 0.04)];
-        let room =
-            Room { build: "small".into(), zone: "a".into(), spot: true, size: o[0].size, free: o[0].size };
-        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50 };
+        let room = Room {
+            build: "small".into(),
+            zone: "a".into(),
+            spot: true,
+            size: o[0].size,
+            free: o[0].size,
+            lent: 0,
+        };
+        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare: BTreeMap::new() };
         let d = [demand("array", 1, 4.0, true, false)];
         assert!(plan(vec![room], &d, &o, &policy).is_empty());
     }
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -206,7 +206,8 @@
         for m in self.machines.values().filter(|m| !m.spot && m.usable()) {
             *spare.entry(m.zone.clone()).or_default() += m.free().cpu;
         }
-        let keep = (self.ctx.operator.spare_cpus * 1000.0) as u64;
+        let targets = self.spare_targets(now);
+        let least = (self.ctx.operator.spare_cpus * 1000.0) as u64;
         let list: Vec<MachineId> = self.machines.keys().cloned().collect();
         for id in list {
             let Some(m) = self.machines.get_mut(&id) else { continue };
@@ -228,6 +229,7 @@
                     }
                     if !m.spot {
                         let s = spare.entry(m.zone.clone()).or_default();
+                        let keep = targets.get(&m.zone).copied().unwrap_or(least);
                         if s.saturating_sub(m.size.cpu) < keep {
                             continue;
                         }
@@ -247,6 +249,36 @@
         }
     }
 
+    /// CPUs of a machine that work below the highest priority takes.
+    fn lent(&self, m: &Machine) -> u64 {
+        let lower = |t: &&TaskId| self.jobs.get(&t.job).is_some_and(|r| r.spec.rank < Rank::Production);
+        m.tasks.keys().filter(lower).map(|t| self.jobs[&t.job].spec.need.cpu).sum()
+    }
+
+    /// Room that should be there for production replicas that come, by zone:
+    /// for the largest service there is, and for what comes while a machine
+    /// boots, as far as the last minute tells; never more than a tenth of what
+    /// runs, or a start from nothing would be taken for the usual flow.
+    fn spare_targets(&self, now: Micros) -> BTreeMap<String, u64> {
+        let least = (self.ctx.operator.spare_cpus * 1000.0) as u64;
+        let zones: BTreeSet<&String> = self.machines.values().map(|m| &m.zone).collect();
+        let minute_ago = self.wall_ms(now).saturating_sub(60_000);
+        let (mut largest, mut recent, mut running) = (0, 0, 0);
+        let services = |r: &&Run| r.spec.kind == Kind::Service && r.spec.rank == Rank::Production && !r.over;
+        for r in self.jobs.values().filter(services) {
+            largest = largest.max(r.spec.need.cpu * r.spec.zone_cap() as u64);
+            running += r.spec.need.cpu * r.bound.len() as u64;
+            if r.submitted_ms > minute_ago {
+                recent += r.spec.need.cpu * r.spec.tasks as u64;
+            }
+        }
+        if largest == 0 {
+            return BTreeMap::new();
+        }
+        let flow = (recent / 2).min(running / 10) / zones.len().max(1) as u64;
+        zones.into_iter().map(|z| (z.clone(), least.max(largest).max(flow))).collect()
+    }
+
     pub(super) fn plan_hires(&mut self, flavors: &[Flavor], now: Micros) {
         if self.hires.len() >= 6 {
             return;
@@ -291,6 +323,7 @@
                 spot: m.spot,
                 size: m.size,
                 free: m.free(),
+                lent: if m.spot { 0 } else { self.lent(m) },
             })
             .collect();
         for (r, ..) in self.hires.values() {
@@ -303,6 +336,7 @@
                         spot: r.spot,
                         size,
                         free: size,
+                        lent: 0,
                     });
                 }
             }
@@ -328,6 +362,7 @@
         list.sort_by_key(|(rank, order, d)| (std::cmp::Reverse(*rank), *order, d.spec.id));
         let demands: Vec<Demand> = list.into_iter().map(|x| x.2).collect();
         let policy = Policy {
+            spare: self.spare_targets(now),
             drain_s: 30.0,
             running_arrays: running,
             max_new: self.ctx.operator.max_machines.saturating_sub(self.machines.len()).min(50),
