--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -162,7 +162,11 @@
         while there < *target && added < policy.max_new {
             let gap = (target - there) as f64;
             let cost = |o: &Offer| o.price * (1.0 + o.boot_s / 120.0) / gap.min(o.size.cpu as f64);
-            let here = offers.iter().filter(|o| !o.refused && !o.spot && o.zone == *zone && o.size.cpu > 0);
+            // A machine several times the target is no price for waiting less.
+            let fair = 1..=2 * target;
+            let here = offers
+                .iter()
+                .filter(|o| !o.refused && !o.spot && o.zone == *zone && fair.contains(&o.size.cpu));
             let Some(o) = here.min_by(|a, b| cost(a).total_cmp(&cost(b))) else { break };
             there += o.size.cpu;
             *wants.entry(Want { build: o.build.clone(), zone: zone.clone(), spot: false }).or_default() += 1;
@@ -338,6 +342,11 @@
             let got: Vec<(&str, u32)> = got.iter().map(|(w, n)| (w.build.as_str(), *n)).collect();
             assert_eq!(got, want, "{target}");
         }
+        // Nothing several times too big where the right size is refused.
+        let refused = [Offer { refused: true, ..offers[0].clone() }, offers[1].clone()];
+        let spare = BTreeMap::from([("a".to_owned(), 6000)]);
+        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
+        assert!(plan(Vec::new(), &[], &refused, &policy).is_empty());
     }
 
     #[test]
