--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -236,6 +236,10 @@
     pub phase: Phase,
     /// Time of day of the end, in milliseconds.
     pub ended_ms: u64,
+    /// Version of the record of the end.
+    pub end_stamp: u64,
+    /// Cancelled, and nothing of it is left on any machine.
+    pub settled: bool,
     /// Tasks recorded as done.
     pub done: TaskSet,
     /// Versions of the progress records.
@@ -410,6 +414,8 @@
                 let was = job.phase;
                 job.phase = if v["end"] == "done" { Phase::Done } else { Phase::Aborted };
                 job.ended_ms = v["at"].as_u64().unwrap_or(0);
+                job.end_stamp = stamp;
+                job.settled = v["gone"] == true;
                 job.done = TaskSet::default();
                 job.chunks.clear();
                 if was == Phase::Active {
@@ -492,6 +498,8 @@
             submitted_ms: 0,
             phase: Phase::Active,
             ended_ms: 0,
+            end_stamp: 0,
+            settled: false,
             done: TaskSet::default(),
             chunks: BTreeMap::new(),
             tasks: 0,
--- a/src/core/leader/bindings.rs
+++ b/src/core/leader/bindings.rs
@@ -50,7 +50,7 @@
         }
         for (id, ago) in view.heard {
             if let Some(m) = self.machines.get_mut(id) {
-                m.heard_at(now - *ago);
+                m.heard_at(now - *ago, from);
             }
         }
         for id in view.strangers {
@@ -100,7 +100,7 @@
         // That it was heard is true under any token: a holder back from a cut
         // has not seen its newest grant, and its machines are not dead.
         if let Some(ago) = s.heard_ago {
-            m.heard_at(now - ago);
+            m.heard_at(now - ago, from);
         }
         if m.holder != Some(from) || m.baton != s.baton {
             return;
--- a/src/core/leader/blocks.rs
+++ b/src/core/leader/blocks.rs
@@ -47,6 +47,9 @@
         if m.holder.is_some_and(|h| h != to) {
             info!("{id}: block moves from controller {} to {}: {why}", m.holder.map_or(0, |h| h.0), to.0);
         }
+        if m.holder != Some(to) {
+            m.held_heard = Micros(0);
+        }
         m.holder = Some(to);
         m.baton = baton;
         m.confirmed = false;
@@ -130,7 +133,7 @@
                         && let Some(to) = self.choose_holder(&load, &m.zone, None, now)
                         && self.ctx.zones[to.0 as usize] == m.zone
                         && now.since(self.nodes[to.0 as usize].since) > Micros::secs(4)
-                        && moves.len() < 2
+                        && (silent || moves.len() < 2)
                     {
                         moves.push((id.clone(), to, "a controller of its zone is back"));
                     }
@@ -185,7 +188,7 @@
                 continue;
             }
             let (last, n) = latest.entry((h, &m.zone)).or_default();
-            *last = (*last).max(t);
+            *last = (*last).max(m.held_heard);
             *n += 1;
             let last = zone_latest.entry(&m.zone).or_default();
             *last = (*last).max(t);
@@ -280,7 +283,7 @@
     /// A cancelled job's task that can't be stopped goes with its machine.
     pub(super) fn watch_cancelled(&mut self, ledger: &Ledger, now: Micros) {
         // Early enough for a cloud that is out of order for a while.
-        let deadline = self.ctx.cancel.scale(55, 100);
+        let deadline = self.ctx.cancel.scale(65, 100);
         // A new leader first hears what its controllers know.
         if now.since(self.began) < Micros::secs(4) {
             return;
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -65,6 +65,7 @@
     /// Tasks that are bound to it.
     bound: BTreeSet<TaskId>,
     heard: Option<Micros>,
+    held_heard: Micros,
     granted_at: Micros,
     warning: Option<Micros>,
     /// The update that first tells of its last change.
@@ -107,6 +108,7 @@
             stale: true,
             bound: BTreeSet::new(),
             heard: None,
+            held_heard: Micros(0),
             granted_at: now,
             warning: None,
             stamp: 0,
@@ -135,7 +137,12 @@
     fn free(&self) -> Resources {
         self.reserved.values().fold(self.size.minus(self.used), |f, r| f.minus(*r))
     }
-    fn heard_at(&mut self, at: Micros) {
+    /// It was heard by a controller; `from` its holder, that is proof that the
+    /// way between them is open.
+    fn heard_at(&mut self, at: Micros, from: NodeId) {
+        if self.holder == Some(from) {
+            self.held_heard = self.held_heard.max(at);
+        }
         if self.heard.is_none_or(|t| at > t) {
             self.heard = Some(at);
             self.probed = None;
@@ -316,6 +323,8 @@
     Hire(String),
     /// Progress of a job.
     Progress(JobId, u32),
+    /// Nothing is left of a cancelled job.
+    Settle(JobId),
     /// Machines of the record with this key are gone.
     Forget(String),
 }
@@ -516,7 +525,7 @@
             // over was dealt with, or can't be helped any more.
             let ago = Micros::millis((wall_ms + 1000).saturating_sub(job.ended_ms));
             match job.phase {
-                Phase::Aborted if ago > l.ctx.cancel => {}
+                Phase::Aborted if ago > l.ctx.cancel || job.settled => {}
                 Phase::Aborted => drop(l.aborted.insert(*id, now - ago)),
                 _ => l.job_changed(*id, ledger, now),
             }
@@ -550,6 +559,7 @@
                     Some(run) => run.done.union(&job.done),
                 }
             }
+            Phase::Aborted if job.settled => {}
             Phase::Aborted => {
                 self.aborted.entry(id).or_insert(now);
                 self.stops_at = Micros(0);
--- a/src/core/leader/records.rs
+++ b/src/core/leader/records.rs
@@ -43,6 +43,20 @@
                 v.extend(chunks.into_iter().map(|c| LeaderWrite::Progress(*id, c)));
             }
         }
+        // A later leader, which doesn't know what became of a cancelled job's
+        // tasks, would delete what machines it can't hear for its sake.
+        for (id, at) in &self.aborted {
+            let job = ledger.jobs.get(id).filter(|j| !j.settled && j.end_stamp > 0);
+            let Some(spec) = job.and_then(|j| j.spec.as_ref()) else { continue };
+            let open = self.jobs.get(id).is_some_and(|r| !r.bound.is_empty())
+                || self
+                    .machines
+                    .values()
+                    .any(|m| m.unknown && spec.allows(&m.build, &m.zone, m.spot, &m.size));
+            if !open && now.since(*at) > Micros::secs(1) {
+                v.push(LeaderWrite::Settle(*id));
+            }
+        }
         for (key, (ids, _)) in &ledger.records {
             if ids.iter().any(|id| self.gone.contains_key(id)) {
                 v.push(LeaderWrite::Forget(key.clone()));
@@ -107,7 +121,7 @@
                     r.unrecorded_since = None;
                 }
             }
-            LeaderWrite::End(_) | LeaderWrite::Forget(_) => {}
+            LeaderWrite::End(_) | LeaderWrite::Settle(_) | LeaderWrite::Forget(_) => {}
         }
     }
 
--- a/src/core/node/duties.rs
+++ b/src/core/node/duties.rs
@@ -288,7 +288,7 @@
             // Progress and clearing up leave room for what users wait for.
             let keep = match w {
                 LeaderWrite::End(_) | LeaderWrite::Machines(_) | LeaderWrite::Hire(_) => 0.0,
-                LeaderWrite::Progress(..) => 1.0,
+                LeaderWrite::Progress(..) | LeaderWrite::Settle(_) => 1.0,
                 LeaderWrite::Forget(_) => 2.0,
             };
             if !self.leader_bucket.take(self.now, cost as f64, keep) {
@@ -323,6 +323,12 @@
                     m.when.push(When { path: keys::end(*id), stamp: 0 });
                     put(key, json!(text), &mut m)
                 }
+                LeaderWrite::Settle(id) => {
+                    let Some(job) = self.ledger.jobs.get(id) else { continue };
+                    let key = keys::end(*id);
+                    m.when.push(When { path: key.clone(), stamp: job.end_stamp });
+                    put(key, json!({"end": "aborted", "at": job.ended_ms, "gone": true}), &mut m)
+                }
                 LeaderWrite::Forget(key) => {
                     let Some((ids, stamp)) = self.ledger.records.get(key) else { continue };
                     m.when.push(When { path: key.clone(), stamp: *stamp });
