--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -275,7 +275,7 @@
 
 #[test]
 fn a_cancelled_task_that_nobody_can_stop_takes_its_machine_along() {
-    for (seconds, deleted) in [(10, false), (17, true)] {
+    for (seconds, deleted) in [(10, false), (20, true)] {
         let mut b = Bench::new(1);
         b.confirm("m0", &[]);
         b.job(1, 60, "t", "standing", "prod", 1, 4.0);
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -19,6 +19,10 @@
     log: Vec<Event>,
     /// 503 to everybody.
     pub down: bool,
+    /// Changes a second, what is left of them, and as of when.
+    changes: (f64, f64, u64),
+    changes_at_once: usize,
+    value_limit: usize,
 }
 
 /// A request's outcome: an answer, or a watch that waits.
@@ -129,6 +133,15 @@
             }
             ("POST", "/multi") => {
                 let m: Multi = serde_json::from_slice(body).unwrap();
+                assert!(m.writes.len() <= self.changes_at_once, "{} changes at once", m.writes.len());
+                for w in &m.writes {
+                    if let Write::Put { put, v, .. } = w {
+                        assert!(v.to_string().len() <= self.value_limit, "{put} is too long");
+                    }
+                }
+                if !self.afford(m.writes.len(), now) {
+                    return Self::answer(429, json!({}));
+                }
                 self.multi(m)
             }
             ("POST", "/grants") => {
@@ -157,6 +170,25 @@
         }
     }
 
+    /// A service with limits.
+    pub fn limited(changes: f64, changes_at_once: usize, value_kb: f64) -> Self {
+        State {
+            changes: (changes, changes, 0),
+            changes_at_once,
+            value_limit: (value_kb * 1024.0) as usize,
+            ..State::default()
+        }
+    }
+
+    /// Whether the budget has room for `n` changes; they are taken from it.
+    fn afford(&mut self, n: usize, now: u64) -> bool {
+        let (rate, left, at) = self.changes;
+        let left = (left + now.saturating_sub(at) as f64 / 1e6 * rate).min(rate);
+        let enough = left >= n as f64;
+        self.changes = (rate, if enough { left - n as f64 } else { left }, now);
+        enough
+    }
+
     fn multi(&mut self, m: Multi) -> Outcome {
         for w in &m.writes {
             if let Write::Put { hold: Some(h), .. } = w
