--- a/src/core/node/duties.rs
+++ b/src/core/node/duties.rs
@@ -27,14 +27,28 @@
                 .map(|i| NodeId(i as u8))
                 .filter(|n| self.hears(*n, Micros::millis(1700)))
                 .collect();
+            let queued = self.user_writes.len() as u32;
+            self.share_budget(queued);
             for i in 0..self.nodes.names.len() {
                 if i != self.nodes.me.0 as usize {
-                    self.out.send(NodeId(i as u8), Message::Ping { state_ok, hears: hears.clone() });
+                    let hears = hears.clone();
+                    self.out.send(NodeId(i as u8), Message::Ping { state_ok, hears, queued });
                 }
             }
         }
     }
 
+    /// This node's part of the budget for users' changes: an equal one, or,
+    /// when more wait here than elsewhere, what the others leave.
+    fn share_budget(&mut self, queued: u32) {
+        let heard = (0..self.peers.len()).filter(|i| self.hears(NodeId(*i as u8), Micros::millis(1700)));
+        let others: u32 = heard.map(|i| self.peers[i].queued).sum();
+        let equal = 1.0 / self.nodes.names.len() as f64;
+        let part = (queued as f64 / (queued + others).max(1) as f64).max(equal);
+        let rate = self.limits.2 * 0.9 * part;
+        self.user_bucket.set_rate(rate, rate);
+    }
+
     pub(super) fn expire(&mut self) {
         let now = self.now;
         let (late, waiting): (Vec<_>, Vec<_>) =
@@ -241,8 +255,6 @@
         }
         if may {
             l.tick(&self.ledger, self.now);
-            l.note_unrecorded(&self.ledger, self.now);
-            l.note_recorded(&self.ledger);
         } else {
             l.stop_cancelled(&self.ledger, self.now);
         }
@@ -258,10 +270,20 @@
 
     pub(super) fn leader_writes(&mut self) {
         let Role::Leader { stamp: mine, term, .. } = self.election.role else { return };
-        if self.leader_txns >= 3 || self.now < self.leader_retry_at {
+        // What is to be written is looked for in all jobs and machines: not at
+        // every input.
+        let again = Micros::millis(40);
+        if self.leader_txns >= 3
+            || self.now < self.leader_retry_at
+            || self.now.since(self.leader_wrote_at) < again
+        {
             return;
         }
-        let Some(l) = &self.leader else { return };
+        self.leader_wrote_at = self.now;
+        let Some(l) = self.leader.as_mut() else { return };
+        l.note_unrecorded(&self.ledger, self.now);
+        l.note_recorded(&self.ledger);
+        let l = &*l;
         let todo: Vec<LeaderWrite> = l
             .writes(&self.ledger, self.value_limit, self.now)
             .into_iter()
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -94,6 +94,7 @@
     refused: Option<Micros>,
     state_ok: bool,
     hears: Vec<NodeId>,
+    queued: u32,
 }
 
 /// The node.
@@ -131,6 +132,7 @@
     leader_inflight: BTreeSet<LeaderWrite>,
     leader_txns: usize,
     leader_retry_at: Micros,
+    leader_wrote_at: Micros,
     ctl: Controller,
     sync_at: Micros,
     sync_term: u64,
@@ -211,6 +213,7 @@
             leader_inflight: BTreeSet::new(),
             leader_txns: 0,
             leader_retry_at: Micros(0),
+            leader_wrote_at: Micros(0),
             ctl: Controller::default(),
             sync_at: Micros(0),
             sync_term: 0,
@@ -218,7 +221,13 @@
             peers: nodes
                 .names
                 .iter()
-                .map(|_| PeerState { heard: None, refused: None, state_ok: false, hears: Vec::new() })
+                .map(|_| PeerState {
+                    heard: None,
+                    refused: None,
+                    state_ok: false,
+                    hears: Vec::new(),
+                    queued: 0,
+                })
                 .collect(),
             flavors: Vec::new(),
             sizes: Sizes::new(),
--- a/src/core/node/peers.rs
+++ b/src/core/node/peers.rs
@@ -129,10 +129,11 @@
 
     pub(super) fn peer(&mut self, from: NodeId, incarnation: u64, m: Message) {
         match m {
-            Message::Ping { state_ok, hears } => {
+            Message::Ping { state_ok, hears, queued } => {
                 if let Some(p) = self.peers.get_mut(from.0 as usize) {
                     p.state_ok = state_ok;
                     p.hears = hears;
+                    p.queued = queued;
                 }
             }
             Message::Forward { to, parcel } => {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -126,6 +126,8 @@
         state_ok: bool,
         /// Nodes that it hears directly.
         hears: Vec<NodeId>,
+        /// Users' changes that wait for their turn in the sender's budget.
+        queued: u32,
     },
     /// To a node that hears the receiver: a `Parcel` to be passed on.
     Forward {
@@ -297,7 +299,7 @@
         let e = Envelope {
             from: NodeId(1),
             incarnation: 9,
-            message: Message::Ping { state_ok: true, hears: vec![NodeId(2)] },
+            message: Message::Ping { state_ok: true, hears: vec![NodeId(2)], queued: 3 },
         };
         let f = encode(&e).unwrap();
         let head: [u8; HEAD] = f[..HEAD].try_into().unwrap();
