--- a/src/core/controller.rs
+++ b/src/core/controller.rs
@@ -792,3 +792,78 @@
         term != self.term || self.base == 0
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn granted(id: &str, baton: u64) -> GrantedMachine {
+        GrantedMachine { id: id.into(), baton: Baton(baton), addr: format!("{id}:1"), draining: false }
+    }
+
+    #[test]
+    fn an_update_is_taken_only_if_its_base_was() {
+        // (term, number, base; taken), one after the other
+        let steps = [
+            (3, 5, 0, true),
+            // A repetition, and one from before.
+            (3, 5, 0, false),
+            (3, 4, 0, false),
+            (3, 7, 5, true),
+            // It builds on one that was lost.
+            (3, 9, 8, false),
+            (3, 10, 5, true),
+            // Another leader's first says everything; its later ones don't do.
+            (4, 12, 11, false),
+            (4, 13, 0, true),
+            (3, 99, 0, false),
+        ];
+        let mut c = Controller::default();
+        for (i, (term, seq, base, want)) in steps.into_iter().enumerate() {
+            assert_eq!(c.accept_update(term, seq, base), want, "step {i}");
+        }
+    }
+
+    #[test]
+    fn a_sync_tells_what_was_not_acknowledged() {
+        let (ledger, now) = (Ledger::default(), Micros::secs(9));
+        let told = |c: &mut Controller, term| match c.sync(term, Vec::new(), &ledger, now) {
+            Message::Sync { seq, base, machines, .. } => {
+                (seq, base, machines.iter().map(|m| m.id.to_string()).collect::<Vec<_>>().join(","))
+            }
+            m => panic!("{m:?}"),
+        };
+        let mut c = Controller::default();
+        assert!(c.accept_update(1, 1, 0));
+        c.take_block(true, &[granted("a", 1), granted("b", 2)], &[]);
+        assert_eq!(told(&mut c, 1), (1, 0, "a,b".into()));
+        // Not acknowledged: all of it again.
+        assert_eq!(told(&mut c, 1), (2, 0, "a,b".into()));
+        c.take_ack(2, Micros::secs(20));
+        assert_eq!(told(&mut c, 1), (3, 2, String::new()));
+        c.take_block(false, &[granted("c", 3)], &[("a".into(), Some(NodeId(1)))]);
+        assert_eq!(told(&mut c, 1), (4, 2, "c".into()));
+        // An older acknowledgement that is the leader's newest word goes back.
+        c.take_ack(1, Micros::secs(20));
+        assert_eq!(told(&mut c, 1), (5, 1, "c".into()));
+        // A leader of another term has taken nothing.
+        assert_eq!(told(&mut c, 2), (6, 0, "b,c".into()));
+    }
+
+    #[test]
+    fn a_stranger_is_only_told_to_stop_what_is_over() {
+        let held =
+            |job, state| Held { task: TaskId { job: JobId(job), index: 0 }, attempt: Attempt(job), state };
+        let mut ledger = Ledger::default();
+        ledger.apply("g/x/j-000001", Some(&serde_json::json!({"end": "aborted", "at": 1})), 1);
+        let tasks = [
+            held(1, TaskState::Running),
+            held(1, TaskState::Stopped),
+            held(2, TaskState::Running),
+            held(2, TaskState::Done),
+        ];
+        let orders = Controller::stops_for_stranger(&tasks, &ledger);
+        let got: Vec<(&str, &str)> = orders.iter().map(|o| (o.verb.as_str(), o.piece.as_str())).collect();
+        assert_eq!(got, [("halt", "j-000001/0")]);
+    }
+}
--- a/src/core/leader/blocks.rs
+++ b/src/core/leader/blocks.rs
@@ -49,6 +49,7 @@
         }
         if m.holder != Some(to) {
             m.held_heard = Micros(0);
+            m.moved_at = now;
         }
         m.holder = Some(to);
         m.baton = baton;
@@ -202,7 +203,9 @@
             let contact = m.holder.map_or(Micros(0), |h| self.nodes[h.0 as usize].contact_since);
             let limit = self.ctx.operator.silent_delete;
             let spoke = (contact + Micros::secs(3)) - limit;
-            let base = m.heard.unwrap_or(m.since).max(self.began).max(spoke);
+            // A new holder gets its time too: a day lost a hundred machines in
+            // the moment in which they were given to their zone's controller.
+            let base = m.heard.unwrap_or(m.since).max(self.began).max(spoke).max(m.moved_at);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
             if silent > Micros::millis(3200) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -66,6 +66,7 @@
     bound: BTreeSet<TaskId>,
     heard: Option<Micros>,
     held_heard: Micros,
+    moved_at: Micros,
     granted_at: Micros,
     warning: Option<Micros>,
     /// The update that first tells of its last change.
@@ -109,6 +110,7 @@
             bound: BTreeSet::new(),
             heard: None,
             held_heard: Micros(0),
+            moved_at: Micros(0),
             granted_at: now,
             warning: None,
             stamp: 0,
@@ -534,6 +536,44 @@
         l
     }
 
+    /// Compares what is kept as things change with a fresh count: for tests.
+    pub fn check_sums(&self) -> Result<(), String> {
+        let mut sums = Sums::default();
+        let mut handed = BTreeSet::new();
+        let mut on: BTreeMap<&MachineId, BTreeSet<TaskId>> = BTreeMap::new();
+        for (job, r) in &self.jobs {
+            for (index, b) in &r.bound {
+                let task = TaskId { job: *job, index: *index };
+                sums.bound(&r.spec);
+                if b.handed.is_some() {
+                    handed.insert(task);
+                }
+                for id in &b.on {
+                    on.entry(id).or_default().insert(task);
+                }
+            }
+        }
+        let mut kept = self.sums.clone();
+        kept.teams.retain(|_, u| *u != (0, 0));
+        sums.teams.retain(|_, u| *u != (0, 0));
+        if sums != kept {
+            return Err(format!("bound tasks: {kept:?} kept, {sums:?} counted"));
+        }
+        if handed != self.handed {
+            return Err(format!("handed: {:?} kept, {handed:?} counted", self.handed));
+        }
+        for (id, m) in &self.machines {
+            let counted = on.remove(id).unwrap_or_default();
+            if m.bound != counted {
+                return Err(format!("bound to {id}: {:?} kept, {counted:?} counted", m.bound));
+            }
+            if !m.stale && m.used != schedule::used(m, &self.jobs) {
+                return Err(format!("used of {id}: {:?} kept", m.used));
+            }
+        }
+        Ok(())
+    }
+
     /// A number never used before in this deployment.
     fn draw(&mut self) -> u64 {
         self.epoch += 1;
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -288,3 +288,60 @@
         assert_eq!(b.leader.machines[&m("m0")].stage == Stage::Deleting, deleted, "{seconds} s");
     }
 }
+
+/// A cut looks like the death of one machine after the other. Two grown days
+/// lost half their replicas to deletions of live machines.
+#[test]
+fn a_machine_is_dead_only_where_its_holder_hears_a_neighbour() {
+    // (who hears m1 while m0 is silent, whether m0 is deleted after 7 s, after 30 s)
+    let cases = [
+        ("its holder, which holds both", Some(A), [true, true]),
+        ("another controller, over another way", Some(B), [false, true]),
+        ("nobody: the zone may be cut off", None, [false, false]),
+    ];
+    for (what, hears, deleted) in cases {
+        let mut b = Bench::new(2);
+        for id in ["m0", "m1"] {
+            b.leader.grant(&m(id), A, "test", b.now);
+            b.confirm(id, &[]);
+        }
+        // Neither controller is in the machines' zone.
+        b.leader.ctx.zones = vec!["west".into(), "west".into()];
+        let mut got = Vec::new();
+        for second in 1..=30 {
+            b.tick(1000);
+            let s = b.state("m1", b.token("m1"), &[]);
+            for n in [A, B] {
+                let states = if hears == Some(n) { vec![s.clone()] } else { Vec::new() };
+                b.sync(n, &states, &[]);
+            }
+            if second == 7 || second == 30 {
+                got.push(b.leader.machines[&m("m0")].stage == Stage::Deleting);
+            }
+        }
+        assert_eq!(got, deleted, "m1 is heard by {what}");
+    }
+}
+
+/// A leader that takes over does not know what became of the tasks of a job
+/// that was cancelled before; a day lost fifty machines behind a cut to that.
+#[test]
+fn a_settled_cancellation_costs_no_machine() {
+    for settled in [false, true] {
+        let mut b = Bench::new(1);
+        b.job(1, 40, "t", "standing", "prod", 1, 4.0);
+        let end = json!({"end": "aborted", "at": 1_000_000, "gone": settled});
+        b.ledger.apply(&keys::end(JobId(1)), Some(&end), 45);
+        let sizes = Sizes::from([("big".into(), Resources::have(8.0, 0.0, 32.0))]);
+        // No controller is in the machine's zone, so its silence may be a cut.
+        let away = Context { zones: vec!["west".into(), "west".into()], ..context() };
+        b.leader = Leader::new(away, TERM + 1, 80, &b.ledger, &sizes, b.now, 1_000_000);
+        for _ in 0..25 {
+            b.tick(1000);
+            b.sync(A, &[], &[]);
+            b.sync(B, &[], &[]);
+        }
+        let doomed = b.leader.machines[&m("m0")].stage == Stage::Deleting;
+        assert_eq!(doomed, !settled, "settled: {settled}");
+    }
+}
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -276,6 +276,12 @@
         std::mem::take(&mut self.out.items)
     }
 
+    /// Whether what this node keeps as things change agrees with a fresh
+    /// count: for tests.
+    pub fn check_kept(&self) -> Result<(), String> {
+        self.leader.as_ref().map_or(Ok(()), Leader::check_sums)
+    }
+
     fn called(&mut self, id: CallId, result: CallResult) {
         let Some(p) = self.calls.remove(&id) else { return };
         let of_state =
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -743,6 +743,10 @@
                 self.request(n, "GET", format!("/submissions/{id}"), Vec::new(), Asker::Poll(j));
             }
         }
+        let sums: Vec<String> = self.nodes.iter().flatten().filter_map(|n| n.check_kept().err()).collect();
+        for s in sums {
+            self.break_rule("sums", s);
+        }
         if self.rng.u32(0..10) == 0 {
             let n = self.rng.usize(0..self.size.nodes);
             self.request(n, "GET", "/submissions/j-900000".into(), Vec::new(), Asker::Stranger);
