A workspace: protocol, settings, core, shell and stand-ins as packages; job records with named fields

Need: a second package (Nomad's files, a site on one machine) has to use the protocol, the core and the HTTP code without the program around them, and a job's record as a row of 17 places could take no new field.

Change: the root package stays the program, built and started as before. What was under src/ is under crates/ with arrows pointing down only; the stand-ins of tests/ are a package. A job's record has named fields with defaults; rows as versions before wrote them are still read (a test with literal rows). The one allowed zone became a list of allowed zones.

--- a/src/core/controller.rs
+++ b/crates/core/src/controller.rs
@@ -1,11 +1,12 @@
 //! A controller's own part: the machines of its block, what it started on
 //! them, and what it tells the leader.
-use super::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, Resources, TaskId};
-use super::jobs::{Job, JobSpec, Ledger, Phase};
+use super::jobs::{Job, Ledger, Phase};
 use super::placement::{self, Candidate};
 use super::{Call, CallId, CallResult, Outbox, Target};
 use crate::peer::{GrantedMachine, HandOut, Held, MachineState, Message, Outcome, StopRequest, TaskState};
-use crate::wire::workers::{Direct, Order, Report};
+use gorseshore_protocol::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, Resources, TaskId};
+use gorseshore_protocol::job::JobSpec;
+use gorseshore_protocol::workers::{Direct, Order, Report};
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/core/election.rs
+++ b/crates/core/src/election.rs
@@ -1,6 +1,6 @@
 //! Who leads: a key in the state service that hangs on a lease, and a term
 //! that rises in the transaction that takes the key.
-use super::ids::Micros;
+use gorseshore_protocol::ids::Micros;
 
 /// This node's part in the election.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/core/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What to rent: the cheapest machines that fit what waits.
-use super::ids::Resources;
-use super::jobs::{JobSpec, Kind};
 use super::placement::{self, Candidate};
+use gorseshore_protocol::ids::Resources;
+use gorseshore_protocol::job::{JobSpec, Kind};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -254,7 +254,7 @@
             "rank":"standard","pieces":n,"cpus":cpus,"gpus":0,"memory_gb":1,"bundle":"i",
             "image_gb":1,"same_place":false,"apart":spread,"loaners":spot,"guess_s":30,
             "mark_s":0,"stow_s":0});
-        let spec = crate::wire::users::parse_submission(v.to_string().as_bytes()).unwrap();
+        let spec = gorseshore_protocol::users::parse_submission(v.to_string().as_bytes()).unwrap();
         Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: BTreeMap::new() }
     }
 
--- a/src/core/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,148 +1,129 @@
 //! Jobs, and the mirror of the state service that every controller keeps.
-use super::ids::{JobId, MachineId, Resources};
+use gorseshore_protocol::ids::{JobId, MachineId, Resources};
+use gorseshore_protocol::job::{JobSpec, Kind, Rank};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// What a job's tasks do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Kind {
-    /// Each task runs to completion.
-    #[serde(rename = "array")]
-    Array,
-    /// Replicas run until the job is cancelled.
-    #[serde(rename = "standing")]
-    Service,
+/// A job's description as it is stored. New fields get a default, so that
+/// records of versions before still read; versions before 3 wrote a row of 17
+/// places, which [`DescriptionRecord::read`] takes as well.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct DescriptionRecord {
+    #[serde(rename = "l")]
+    class: String,
+    #[serde(rename = "t")]
+    team: String,
+    #[serde(rename = "k")]
+    kind: Kind,
+    #[serde(rename = "r")]
+    rank: Rank,
+    #[serde(rename = "n")]
+    tasks: u32,
+    /// Thousandths of CPUs, GPUs and GB.
+    #[serde(rename = "u")]
+    need: [u64; 3],
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    types: Option<Vec<String>>,
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    zones: Option<Vec<String>>,
+    #[serde(rename = "o", default, skip_serializing_if = "is_default")]
+    one_zone: bool,
+    #[serde(rename = "a", default, skip_serializing_if = "is_default")]
+    spread: bool,
+    #[serde(rename = "s", default, skip_serializing_if = "is_default")]
+    spot: bool,
+    #[serde(rename = "i")]
+    image: String,
+    #[serde(rename = "ig", default, skip_serializing_if = "is_default")]
+    image_gb: f64,
+    #[serde(rename = "e", default, skip_serializing_if = "is_default")]
+    estimate_s: f64,
+    #[serde(rename = "c", default, skip_serializing_if = "is_default")]
+    checkpoint_s: f64,
+    #[serde(rename = "w", default, skip_serializing_if = "is_default")]
+    save_s: f64,
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    deadline_s: Option<f64>,
 }
 
-/// Priority, lowest first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Rank {
-    /// Lowest.
-    #[serde(rename = "idle")]
-    Low,
-    /// Ordinary work.
-    #[serde(rename = "standard")]
-    Normal,
-    /// Above ordinary work.
-    #[serde(rename = "high")]
-    High,
-    /// Live services.
-    #[serde(rename = "prod")]
-    Production,
+fn is_default<T: Default + PartialEq>(v: &T) -> bool {
+    *v == T::default()
 }
 
-/// All ranks, highest first.
-pub const RANKS: [Rank; 4] = [Rank::Production, Rank::High, Rank::Normal, Rank::Low];
-
-/// A checked job description.
-#[derive(Debug, Clone, PartialEq)]
-pub struct JobSpec {
-    /// Id.
-    pub id: JobId,
-    /// Class of jobs.
-    pub class: String,
-    /// Team.
-    pub team: String,
-    /// Array or service.
-    pub kind: Kind,
-    /// Priority.
-    pub rank: Rank,
-    /// Number of tasks.
-    pub tasks: u32,
-    /// What one task takes.
-    pub need: Resources,
-    /// Allowed machine types.
-    pub types: Option<Vec<String>>,
-    /// The only allowed zone.
-    pub zone: Option<String>,
-    /// All tasks in one zone.
-    pub one_zone: bool,
-    /// At most half of the tasks, rounded up, in one zone.
-    pub spread: bool,
-    /// Spot machines are allowed.
-    pub spot: bool,
-    /// Image.
-    pub image: String,
-    /// Its size.
-    pub image_gb: f64,
-    /// The owner's estimate of a task's run time.
-    pub estimate_s: f64,
-    /// Interval of checkpoints, 0 for none.
-    pub checkpoint_s: f64,
-    /// Time to save.
-    pub save_s: f64,
-    /// Deadline, from the submission.
-    pub deadline_s: Option<f64>,
-}
-
-impl JobSpec {
-    /// Whether a task may be on such a machine, by type, zone, kind and size.
-    pub fn allows(&self, build: &str, zone: &str, spot: bool, size: &Resources) -> bool {
-        (!spot || self.spot)
-            && self.types.as_ref().is_none_or(|t| t.iter().any(|x| x == build))
-            && self.zone.as_deref().is_none_or(|z| z == zone)
-            && size.fits(&self.need)
-    }
-    /// Most tasks that may be in one zone.
-    pub fn zone_cap(&self) -> u32 {
-        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
-    }
-    fn to_value(&self) -> Value {
-        json!([
-            self.class,
-            self.team,
-            self.kind,
-            self.rank,
-            self.tasks,
-            [self.need.cpu, self.need.gpu, self.need.mem],
-            self.types,
-            self.zone,
-            self.one_zone,
-            self.spread,
-            self.spot,
-            self.image,
-            self.image_gb,
-            self.estimate_s,
-            self.checkpoint_s,
-            self.save_s,
-            self.deadline_s
-        ])
-    }
-    fn from_value(id: JobId, v: &Value) -> Option<Self> {
-        type Row = (
-            (String, String, Kind, Rank, u32, [u64; 3], Option<Vec<String>>, Option<String>),
-            (bool, bool, bool, String, f64, f64, f64, f64, Option<f64>),
-        );
-        let a = v.as_array()?;
-        if a.len() < 17 {
-            return None;
+impl DescriptionRecord {
+    fn of(s: &JobSpec) -> Self {
+        DescriptionRecord {
+            class: s.class.clone(),
+            team: s.team.clone(),
+            kind: s.kind,
+            rank: s.rank,
+            tasks: s.tasks,
+            need: [s.need.cpu, s.need.gpu, s.need.mem],
+            types: s.types.clone(),
+            zones: s.zones.clone(),
+            one_zone: s.one_zone,
+            spread: s.spread,
+            spot: s.spot,
+            image: s.image.clone(),
+            image_gb: s.image_gb,
+            estimate_s: s.estimate_s,
+            checkpoint_s: s.checkpoint_s,
+            save_s: s.save_s,
+            deadline_s: s.deadline_s,
         }
-        let split = json!([a[..8], a[8..17]]);
-        let ((class, team, kind, rank, tasks, n, types, zone), rest): Row =
-            serde_json::from_value(split).ok()?;
-        let (one_zone, spread, spot, image, image_gb, estimate_s, checkpoint_s, save_s, deadline_s) = rest;
-        let need = Resources { cpu: n[0], gpu: n[1], mem: n[2] };
+    }
+
+    fn read(id: JobId, v: &Value) -> Option<JobSpec> {
+        let r = match v {
+            Value::Array(row) => Self::from_row(row)?,
+            _ => Self::deserialize(v).ok()?,
+        };
         Some(JobSpec {
             id,
-            class,
-            team,
-            kind,
-            rank,
-            tasks,
-            need,
-            types,
-            zone,
-            one_zone,
-            spread,
-            spot,
-            image,
-            image_gb,
-            estimate_s,
-            checkpoint_s,
-            save_s,
-            deadline_s,
+            class: r.class,
+            team: r.team,
+            kind: r.kind,
+            rank: r.rank,
+            tasks: r.tasks,
+            need: Resources { cpu: r.need[0], gpu: r.need[1], mem: r.need[2] },
+            types: r.types,
+            zones: r.zones,
+            one_zone: r.one_zone,
+            spread: r.spread,
+            spot: r.spot,
+            image: r.image,
+            image_gb: r.image_gb,
+            estimate_s: r.estimate_s,
+            checkpoint_s: r.checkpoint_s,
+            save_s: r.save_s,
+            deadline_s: r.deadline_s,
+        })
+    }
+
+    fn from_row(row: &[Value]) -> Option<Self> {
+        fn at<'a, T: Deserialize<'a>>(row: &'a [Value], i: usize) -> Option<T> {
+            T::deserialize(row.get(i)?).ok()
+        }
+        Some(DescriptionRecord {
+            class: at(row, 0)?,
+            team: at(row, 1)?,
+            kind: at(row, 2)?,
+            rank: at(row, 3)?,
+            tasks: at(row, 4)?,
+            need: at(row, 5)?,
+            types: at(row, 6)?,
+            zones: at::<Option<String>>(row, 7)?.map(|z| vec![z]),
+            one_zone: at(row, 8)?,
+            spread: at(row, 9)?,
+            spot: at(row, 10)?,
+            image: at(row, 11)?,
+            image_gb: at(row, 12)?,
+            estimate_s: at(row, 13)?,
+            checkpoint_s: at(row, 14)?,
+            save_s: at(row, 15)?,
+            deadline_s: at(row, 16)?,
         })
     }
 }
@@ -330,7 +311,7 @@
 
 /// A job's record.
 pub fn job_value(spec: &JobSpec, submitted_ms: u64) -> Value {
-    json!({"d": spec.to_value(), "at": submitted_ms})
+    json!({"d": DescriptionRecord::of(spec), "at": submitted_ms})
 }
 
 /// The record of machines of one kind: type, zone, kind, and for each its name
@@ -400,7 +381,7 @@
             }
             "j" => {
                 let (Some(id), Some(v)) = (JobId::parse(name), value) else { return Change::Other };
-                let spec = JobSpec::from_value(id, &v["d"]).map(Rc::new);
+                let spec = DescriptionRecord::read(id, &v["d"]).map(Rc::new);
                 let job = self.jobs.entry(id).or_insert_with(Job::empty);
                 job.stamp = stamp;
                 job.submitted_ms = v["at"].as_u64().unwrap_or(0);
@@ -562,13 +543,41 @@
         assert_eq!((j.phase, j.done.len()), (Phase::Aborted, 0));
     }
 
+    #[test]
+    fn records_of_versions_before_are_read() {
+        // As version 2 wrote them.
+        let rows = [
+            (
+                r#"["t","v","standing","prod",3,[1500,0,2100],["g8"],"a",false,true,false,"i",0.5,0.0,0.0,0.0,null]"#,
+                (Kind::Service, Rank::Production, 3, Some(vec!["a".to_owned()]), None),
+            ),
+            (
+                r#"["t","v","array","idle",65,[4000,1000,5300],null,null,true,false,true,"img-07",1.5,30.0,15.0,2.0,900.0]"#,
+                (Kind::Array, Rank::Low, 65, None, Some(900.0)),
+            ),
+        ];
+        for (row, want) in rows {
+            let mut l = Ledger::default();
+            let v = json!({"d": serde_json::from_str::<Value>(row).unwrap(), "at": 77});
+            l.apply("g/j/j-000412", Some(&v), 9);
+            let s = l.jobs[&JobId(412)].spec.clone().expect(row);
+            assert_eq!((s.kind, s.rank, s.tasks, s.zones.clone(), s.deadline_s), want, "{row}");
+            // Written anew, it says the same.
+            let again = job_value(&s, 77);
+            assert_eq!(DescriptionRecord::read(JobId(412), &again["d"]).as_ref(), Some(&*s), "{row}");
+        }
+        for broken in ["[]", r#"["t","v","array"]"#, "{}", "7"] {
+            assert_eq!(DescriptionRecord::read(JobId(1), &serde_json::from_str(broken).unwrap()), None);
+        }
+    }
+
     #[test]
     fn a_job_record_reads_back() {
         let body = br#"{"ref":"j-000412","lot":"t","crew":"v","manner":"standing","rank":"prod",
             "pieces":3,"cpus":1.5,"gpus":0,"memory_gb":2.1,"bundle":"i","image_gb":0.5,
             "builds":["g8"],"yard":"a","same_place":false,"apart":true,"loaners":false,
             "guess_s":0,"mark_s":0,"stow_s":0,"due_s":null}"#;
-        let spec = crate::wire::users::parse_submission(body).unwrap();
+        let spec = gorseshore_protocol::users::parse_submission(body).unwrap();
         let mut l = Ledger::default();
         l.apply("g/j/j-000412", Some(&job_value(&spec, 77)), 9);
         let j = &l.jobs[&JobId(412)];
--- a/src/core/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -152,7 +152,7 @@
                     let Some(size) = sizes.get(&r.build) else { continue };
                     let rec = MachineRecord {
                         build: r.build.clone(),
-                        zone: r.zone(),
+                        zone: r.yard.clone(),
                         spot: r.loaners,
                         addr: r.addr.clone(),
                     };
--- a/src/core/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -8,15 +8,18 @@
 #[cfg(test)]
 mod tests;
 
-use crate::core::controller::Sizes;
-use crate::core::fair_queue::FairQueue;
-use crate::core::fleet::{self, Demand, Offer, Policy, Room};
-use crate::core::ids::{Attempt, Baton, EPOCH_BITS, JobId, MachineId, Micros, NodeId, Resources, TaskId};
-use crate::core::jobs::{Job, JobSpec, Kind, Ledger, MachineRecord, Phase, RANKS, Rank, TaskSet};
-use crate::core::placement::{self, Candidate};
+use crate::controller::Sizes;
+use crate::fair_queue::FairQueue;
+use crate::fleet::{self, Demand, Offer, Policy, Room};
+use crate::jobs::{Job, Ledger, MachineRecord, Phase, TaskSet};
 use crate::peer::{GrantedMachine, HandOut, MachineState, Message, Outcome, StopRequest, TaskState};
-use crate::settings::{Objective, Operator, Team};
-use crate::wire::cloud::{Flavor, Rental};
+use crate::placement::{self, Candidate};
+use gorseshore_protocol::cloud::{Flavor, Rental};
+use gorseshore_protocol::ids::{
+    Attempt, Baton, EPOCH_BITS, JobId, MachineId, Micros, NodeId, Resources, TaskId,
+};
+use gorseshore_protocol::job::{JobSpec, Kind, RANKS, Rank};
+use gorseshore_settings::{Objective, Operator, Team};
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -714,9 +717,3 @@
         }
     }
 }
-
-impl Rental {
-    fn zone(&self) -> String {
-        self.yard.clone()
-    }
-}
--- a/src/core/leader/records.rs
+++ b/crates/core/src/leader/records.rs
@@ -1,6 +1,6 @@
 //! What the leader records.
 use super::*;
-use crate::core::jobs::{machine_room, machines_value};
+use crate::jobs::{machine_room, machines_value};
 use serde_json::Value;
 
 impl Leader {
@@ -38,7 +38,7 @@
                 let recorded = &ledger.jobs[id].done;
                 let chunks: BTreeSet<u32> = (0..r.spec.tasks)
                     .filter(|i| r.done.contains(*i) && !recorded.contains(*i))
-                    .map(|i| i / crate::core::jobs::CHUNK)
+                    .map(|i| i / crate::jobs::CHUNK)
                     .collect();
                 v.extend(chunks.into_iter().map(|c| LeaderWrite::Progress(*id, c)));
             }
--- a/src/core/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -1,6 +1,6 @@
 //! Bindings: what frees a task, and what doesn't.
 use super::*;
-use crate::core::jobs::{job_value, keys};
+use crate::jobs::{job_value, keys};
 use crate::peer::Held;
 use serde_json::json;
 
@@ -69,7 +69,7 @@
         let body = json!({"ref": JobId(id).to_string(), "lot": "l", "crew": team, "manner": kind, "rank": rank,
             "pieces": tasks, "cpus": cpus, "gpus": 0, "memory_gb": 1, "bundle": "i", "image_gb": 1,
             "same_place": false, "apart": false, "loaners": false, "guess_s": 10, "mark_s": 0, "stow_s": 0});
-        let spec = crate::wire::users::parse_submission(body.to_string().as_bytes()).unwrap();
+        let spec = gorseshore_protocol::users::parse_submission(body.to_string().as_bytes()).unwrap();
         self.ledger.apply(&keys::job(JobId(id)), Some(&job_value(&spec, 1_000_000)), stamp);
         self.leader.job_changed(JobId(id), &self.ledger, self.now);
     }
--- a/src/core/mod.rs
+++ b/crates/core/src/lib.rs
@@ -1,18 +1,19 @@
 //! The service without input or output: a state machine that takes inputs,
 //! time among them, and returns what to send, ask and answer.
+#![warn(missing_docs)]
 pub mod controller;
 pub mod election;
 pub mod fair_queue;
 pub mod fleet;
-pub mod ids;
 pub mod jobs;
 pub mod leader;
 pub mod node;
+pub mod peer;
 pub mod placement;
 pub mod rate;
 
 use crate::peer::Message;
-use ids::{Micros, NodeId};
+use gorseshore_protocol::ids::{Micros, NodeId};
 
 /// Names a request that waits for an answer from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -154,7 +155,7 @@
     }
     /// Adds an answer that asks the user to come back.
     pub fn later(&mut self, id: RequestId, reason: &str) {
-        let body = crate::wire::users::error(reason);
+        let body = gorseshore_protocol::users::error(reason);
         self.items.push(Output::Answer { id, status: 503, body, retry_after: Some(1) });
     }
     /// Adds a message.
--- a/src/peer/mod.rs
+++ b/crates/core/src/peer.rs
@@ -1,7 +1,7 @@
 //! What controllers say to each other: borsh messages, framed by a length and
 //! a version, one way on a connection that the sender opens.
-use crate::core::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, TaskId};
 use borsh::{BorshDeserialize, BorshSerialize};
+use gorseshore_protocol::ids::{Attempt, Baton, JobId, MachineId, Micros, NodeId, TaskId};
 use thiserror::Error;
 
 /// Version of the messages; a frame of another version is refused.
--- a/src/core/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,6 +1,6 @@
 //! Where a task goes.
-use super::ids::Resources;
-use super::jobs::{JobSpec, Kind};
+use gorseshore_protocol::ids::Resources;
+use gorseshore_protocol::job::{JobSpec, Kind};
 
 /// A machine as placement sees it.
 #[derive(Debug, Clone, Copy)]
@@ -50,7 +50,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::wire::users::parse_submission;
+    use gorseshore_protocol::users::parse_submission;
 
     fn spec(edit: &str) -> JobSpec {
         let base = r#"{"ref":"j-000001","lot":"l","crew":"t","manner":"array","rank":"standard",
--- a/src/core/rate.rs
+++ b/crates/core/src/rate.rs
@@ -1,5 +1,5 @@
 //! Token buckets for the outside services' limits.
-use super::ids::Micros;
+use gorseshore_protocol::ids::Micros;
 
 /// A bucket: `rate` a second, bursts of `burst`.
 #[derive(Debug, Clone)]
--- a/src/wire/users.rs
+++ b/crates/protocol/src/users.rs
@@ -1,6 +1,6 @@
 //! Users: submissions and answers.
-use crate::core::ids::{JobId, Resources};
-use crate::core::jobs::{JobSpec, Kind, Rank};
+use crate::ids::{JobId, Resources};
+use crate::job::{JobSpec, Kind, Rank};
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 
@@ -90,7 +90,7 @@
         tasks: s.pieces,
         need: Resources::need(s.cpus, s.gpus, s.memory_gb),
         types: s.builds,
-        zone: s.yard,
+        zones: s.yard.map(|z| vec![z]),
         one_zone: s.same_place,
         spread: s.apart,
         spot: s.loaners,
--- a/src/settings/mod.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,5 @@
 //! Settings: the platform's TOML file and the operators' own file.
+#![warn(missing_docs)]
 mod operator;
 mod platform;
 pub use operator::{LogFormat, Operator};
--- a/src/settings/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -1,6 +1,6 @@
 //! The operators' own file, in protobuf text format.
 use super::SettingsError;
-use crate::core::ids::Micros;
+use gorseshore_protocol::ids::Micros;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
 use std::collections::HashMap;
 
--- a/src/shell/client.rs
+++ b/crates/shell/src/client.rs
@@ -1,7 +1,7 @@
 //! Calls to the state service, the cloud and the workers.
 use super::http::{self, BodyEnd};
 use super::server::within;
-use crate::core::{Call, CallResult, Target};
+use gorseshore_core::{Call, CallResult, Target};
 use smol::future;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
--- a/src/shell/mod.rs
+++ b/crates/shell/src/lib.rs
@@ -1,15 +1,16 @@
 //! Sockets and timers round the core.
+#![warn(missing_docs)]
 pub mod client;
 pub mod http;
 pub mod logger;
 pub mod peers;
 pub mod server;
 
-use crate::core::ids::{Micros, NodeId};
-use crate::core::node::{Node, Nodes};
-use crate::core::{CallResult, Input, Output, RequestId};
-use crate::peer::{Envelope, Message};
-use crate::settings::{Operator, Platform};
+use gorseshore_core::node::{Node, Nodes};
+use gorseshore_core::peer::{Envelope, Message};
+use gorseshore_core::{CallResult, Input, Output, RequestId};
+use gorseshore_protocol::ids::{Micros, NodeId};
+use gorseshore_settings::{Operator, Platform};
 use log::{error, info};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Timer};
@@ -74,7 +75,11 @@
 
     fn send(&self, to: NodeId, message: Message) {
         let Some(Some(tx)) = self.peers.get(to.0 as usize) else { return };
-        match crate::peer::encode(&Envelope { from: self.me, incarnation: self.incarnation, message }) {
+        match gorseshore_core::peer::encode(&Envelope {
+            from: self.me,
+            incarnation: self.incarnation,
+            message,
+        }) {
             // A full queue means a peer out of reach; everything is sent again.
             Ok(frame) => drop(tx.try_send(frame)),
             Err(e) => error!("message to controller {} not sent: {e}", to.0),
--- a/src/shell/logger.rs
+++ b/crates/shell/src/logger.rs
@@ -1,5 +1,5 @@
 //! Logs to standard error, in the amount that `LOG_LEVEL` sets.
-use crate::settings::LogFormat;
+use gorseshore_settings::LogFormat;
 use log::{LevelFilter, Log, Metadata, Record};
 use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -18,6 +18,7 @@
         }
         let ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let part = r.target().rsplit("::").next().unwrap_or("");
+        let part = part.strip_prefix("gorseshore_").unwrap_or(part);
         let line = match self.format {
             LogFormat::Plain => {
                 format!("{}.{:03} {:5} {part}: {}\n", ms / 1000, ms % 1000, r.level(), r.args())
--- a/src/shell/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -2,9 +2,9 @@
 //! sends on what it dialled.
 use super::Shell;
 use super::server::within;
-use crate::core::Input;
-use crate::core::ids::NodeId;
-use crate::peer;
+use gorseshore_core::Input;
+use gorseshore_core::peer;
+use gorseshore_protocol::ids::NodeId;
 use log::{debug, warn};
 use smol::channel::Receiver;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/shell/server.rs
+++ b/crates/shell/src/server.rs
@@ -1,7 +1,7 @@
 //! Connections of users and workers.
 use super::Shell;
 use super::http;
-use crate::wire::users;
+use gorseshore_protocol::users;
 use log::warn;
 use smol::future::{self, FutureExt};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/world/state.rs
+++ b/crates/standins/src/state.rs
@@ -1,5 +1,5 @@
 //! Stand-in for the state service, written from the protocol.
-use gorseshore::wire::state::{Event, Listing, Multi, News, Pair, Write};
+use gorseshore_protocol::state::{Event, Listing, Multi, News, Pair, Write};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
@@ -27,8 +27,17 @@
 
 /// A request's outcome: an answer, or a watch that waits.
 pub enum Outcome {
+    /// Status and body.
     Answer(u16, Vec<u8>),
-    Wait { prefix: String, from: u64, until: u64 },
+    /// A watch; [`State::news`] says when it is over, [`State::no_news`] ends it.
+    Wait {
+        /// Keys that it watches.
+        prefix: String,
+        /// Revision from which on changes count.
+        from: u64,
+        /// When it ends without news, in microseconds.
+        until: u64,
+    },
 }
 
 fn query(path: &str) -> BTreeMap<&str, &str> {
--- a/tests/world/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,19 +1,27 @@
 //! Stand-in for a machine with its worker, written from the protocol.
-use gorseshore::wire::workers::{Direct, Order, Piece, Report};
+use gorseshore_protocol::workers::{Direct, Order, Piece, Report};
 
+/// Where a task stands; times are microseconds of the caller's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Stage {
+    /// Has its image at that time.
     Fetching(u64),
+    /// Completes at that time.
     Running(u64),
+    /// Has saved at that time.
     Saving(u64),
+    /// Ended, for this cause.
     Exited(&'static str),
 }
 
 /// A task on the machine.
 #[derive(Debug, Clone)]
 pub struct Task {
+    /// Job and index, as `j-000412/3`.
     pub name: String,
+    /// Attempt.
     pub attempt: u64,
+    /// Where it stands.
     pub stage: Stage,
 }
 
@@ -26,37 +34,60 @@
 
 /// The machine.
 pub struct Machine {
+    /// Name, which is its address too in worlds in memory.
     pub name: String,
+    /// Type.
     pub build: String,
+    /// Zone.
     pub zone: String,
+    /// Spot.
     pub spot: bool,
+    /// CPUs.
     pub cpus: f64,
+    /// When it is up.
     pub up_at: u64,
+    /// Does nothing until then.
     pub hung_until: u64,
+    /// Out of reach until then.
     pub cut_until: u64,
+    /// Every task fails.
     pub sick: bool,
+    /// Session.
     pub shift: u64,
+    /// Number of the last report or answer.
     pub tally: u64,
+    /// Highest token seen.
     pub baton: u64,
+    /// Tasks, with those that exited and are not cleared.
     pub tasks: Vec<Task>,
+    /// Which controller it reports to.
     pub report_to: usize,
+    /// When the next report is due.
     pub next_report: u64,
     /// The open report: its number, when it was sent, its session.
     pub open: Option<(u64, u64, u64)>,
+    /// What the lease counts from.
     pub lease_from: u64,
+    /// When the last report went out.
     pub last_sent: u64,
+    /// Something is to be reported.
     pub changed: bool,
 }
 
 /// What the worker knows of a job from its user.
 pub struct Facts {
+    /// CPUs of a task.
     pub cpus: f64,
+    /// Run time; none for replicas.
     pub run_us: Option<u64>,
+    /// Number of tasks.
     pub tasks: u32,
+    /// Time to save; none if the task never saves.
     pub save_us: Option<u64>,
 }
 
 impl Machine {
+    /// The report as of now; each has a number of its own.
     pub fn report(&mut self) -> Report {
         self.tally += 1;
         Report {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! The program: settings, logging, and the service.
 use clap::Parser;
-use gorseshore::settings::{Operator, Platform, SettingsError};
+use gorseshore_settings::{Operator, Platform, SettingsError};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -47,8 +47,8 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    gorseshore::shell::logger::start(operator.log_format);
-    match gorseshore::shell::run(platform, operator) {
+    gorseshore_shell::logger::start(operator.log_format);
+    match gorseshore_shell::run(platform, operator) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
--- a/tests/smoke.rs
+++ b/tests/smoke.rs
@@ -1,22 +1,15 @@
 //! The real program on loopback, against stand-ins for the outside systems.
-#[allow(dead_code)] // shared with the world test
-#[path = "world/state.rs"]
-mod state;
-#[allow(dead_code)]
-#[path = "world/worker.rs"]
-mod worker;
-
-use gorseshore::shell::http;
-use gorseshore::wire::cloud::{Flavor, Flavors, Hire, Hosts, Rentals};
-use gorseshore::wire::workers::{CheckinAnswer, Direct};
+use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts, Rentals};
+use gorseshore_protocol::workers::{CheckinAnswer, Direct};
+use gorseshore_shell::http;
+use gorseshore_standins::state::{Outcome, State};
+use gorseshore_standins::worker::{Facts, Machine};
 use serde_json::{Value, json};
-use state::{Outcome, State};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use worker::{Facts, Machine};
 
 type Handler = Arc<dyn Fn(&str, &str, &[u8]) -> (u16, Vec<u8>) + Send + Sync>;
 
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,15 +1,14 @@
 //! A seeded world in memory: some nodes, stand-ins for the outside systems,
 //! a network that loses, delays, repeats and holds back, and troubles. Every
 //! rule of the protocol is checked at each step.
-mod state;
-mod worker;
+use gorseshore_standins::{state, worker};
 
-use gorseshore::core::ids::Micros;
-use gorseshore::core::node::Node;
-use gorseshore::core::{Call, CallId, CallResult, Input, Output, RequestId, Target};
-use gorseshore::settings::{Operator, Platform};
-use gorseshore::wire::cloud::{Flavor, Flavors, Hire, Hosts, Rental, Rentals};
-use gorseshore::wire::workers::{CheckinAnswer, Direct};
+use gorseshore_core::node::Node;
+use gorseshore_core::{Call, CallId, CallResult, Input, Output, RequestId, Target};
+use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts, Rental, Rentals};
+use gorseshore_protocol::ids::Micros;
+use gorseshore_protocol::workers::{CheckinAnswer, Direct};
+use gorseshore_settings::{Operator, Platform};
 use serde_json::{Value, json};
 use state::{Outcome, State};
 use std::cmp::Reverse;
@@ -126,7 +125,7 @@
     Arrive(usize, u64, CallId, Call),
     /// Its answer, or the end of waiting.
     Called(usize, u64, CallId, CallResult),
-    Peer(usize, usize, u64, gorseshore::peer::Message),
+    Peer(usize, usize, u64, gorseshore_core::peer::Message),
     Request(usize, u64, RequestId, &'static str, String, Vec<u8>),
     Answered(RequestId, u16, Vec<u8>),
     Workers,
@@ -941,7 +940,7 @@
                 }
             }
             Event::Peer(from, to, incarnation, message) => {
-                let from = gorseshore::core::ids::NodeId(from as u8);
+                let from = gorseshore_protocol::ids::NodeId(from as u8);
                 self.feed(to, Input::Peer { from, incarnation, message });
             }
             Event::Request(n, me, id, method, path, body) => {
@@ -1073,7 +1072,7 @@
 fn rough_days_keep_the_rules() {
     let seeds = std::env::var("WORLD_SEEDS").ok();
     if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore::shell::logger::start(gorseshore::settings::LogFormat::Plain);
+        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
     }
     let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
         Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
