--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -360,7 +360,8 @@
             ));
         }
         list.sort_by_key(|(rank, order, d)| (std::cmp::Reverse(*rank), *order, d.spec.id));
-        let demands: Vec<Demand> = list.into_iter().map(|x| x.2).collect();
+        let mut demands: Vec<Demand> = list.into_iter().map(|x| x.2).collect();
+        self.keep_to_limits(&mut demands);
         let policy = Policy {
             spare: self.spare_targets(now),
             drain_s: 30.0,
@@ -384,4 +385,31 @@
             self.hires.insert(name, (req, HireStage::ToRecord, now));
         }
     }
+
+    /// Leaves of what waits, in the order in which it is served, only what the
+    /// teams' limits let start: a machine for the rest would stand idle.
+    pub(super) fn keep_to_limits(&self, demands: &mut Vec<Demand>) {
+        let mut left: BTreeMap<&str, Resources> = BTreeMap::new();
+        for team in &self.ctx.teams {
+            let max = Resources::have(team.cpus_max, team.gpus_max, 0.0);
+            if max.cpu == 0 && max.gpu == 0 {
+                continue;
+            }
+            let (cpu, gpu) = self.sums.teams.get(&team.name).copied().unwrap_or_default();
+            // No limit is meant by 0.
+            let of = |max: u64, used: u64| if max == 0 { u64::MAX } else { max.saturating_sub(used) };
+            left.insert(
+                &team.name,
+                Resources { cpu: of(max.cpu, cpu), gpu: of(max.gpu, gpu), mem: u64::MAX },
+            );
+        }
+        demands.retain_mut(|d| {
+            let Some(room) = left.get_mut(d.spec.team.as_str()) else { return true };
+            d.waiting = room.count(&d.spec.need, d.waiting as u64) as u32;
+            for _ in 0..d.waiting {
+                *room = room.minus(d.spec.need);
+            }
+            d.waiting > 0
+        });
+    }
 }
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -345,3 +345,45 @@
         assert_eq!(doomed, !settled, "settled: {settled}");
     }
 }
+
+/// A team's backlog beyond its limit can't start, so no machine is rented for
+/// it: a grown world rented three times what it needed and returned it idle.
+#[test]
+fn nothing_is_rented_for_what_a_limit_forbids() {
+    let flavors = [Flavor {
+        sku: "big".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 10.0,
+        pull_gb_per_s: 1.0,
+        hourly: 1.0,
+        spot_price: None,
+        boot_s: 10.0,
+        yards: vec!["east".into()],
+    }];
+    // (jobs as team, tasks, CPUs; tasks that may start)
+    let cases: [(&[(&str, u32, f64)], u32); 4] = [
+        (&[("t", 10, 2.0)], 10),
+        (&[("tight", 10, 2.0)], 2),
+        (&[("tight", 1, 2.0), ("tight", 10, 1.0), ("tight", 3, 3.0)], 3),
+        (&[("tight", 1, 3.0), ("tight", 1, 2.0), ("t", 1, 8.0)], 2),
+    ];
+    for (jobs, want) in cases {
+        let mut b = Bench::new(0);
+        let mut demands = Vec::new();
+        for (i, (team, tasks, cpus)) in jobs.iter().enumerate() {
+            b.job(1 + i as u64, 60, team, "array", "standard", *tasks, *cpus);
+            let spec = b.leader.jobs[&JobId(1 + i as u64)].spec.clone();
+            demands.push(Demand { spec, waiting: *tasks, starving: false, zones: BTreeMap::new() });
+        }
+        b.leader.keep_to_limits(&mut demands);
+        assert_eq!(demands.iter().map(|d| d.waiting).sum::<u32>(), want, "{jobs:?}");
+    }
+    // The same through what is rented: 40 CPUs wait, 4 may run.
+    let mut b = Bench::new(0);
+    b.job(1, 60, "tight", "array", "standard", 20, 2.0);
+    b.leader.plan_hires(&flavors, b.now);
+    let rented: u32 = b.leader.hires.values().map(|(r, ..)| r.count).sum();
+    assert_eq!(rented, 1);
+}
