The node in parts, each with the state of one duty

Need: a new subsystem needs a place to hang on, and a reader has to see who may change a field; Node had 55 fields.

Change: Mirror (state service), Users (waiting requests and changes), Office (election and leader's writes), Company (other controllers), Post (letters), Market (machine types), Desk (held check-ins), each in a file of its own with what concerns it alone. No decision changed.

--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -5,10 +5,10 @@
     pub(super) fn tick(&mut self) {
         self.expire();
         self.follow();
-        if !self.state_ok()
-            || !self.loaded
-            || !self.waiters.is_empty()
-            || self.now.since(self.state_ok_at.unwrap_or_default()) > Micros::millis(900)
+        if !self.mirror.state_ok(self.now)
+            || !self.mirror.loaded
+            || !self.users.waiters.is_empty()
+            || self.now.since(self.mirror.ok_at.unwrap_or_default()) > Micros::millis(900)
         {
             self.barrier();
         }
@@ -19,16 +19,17 @@
         self.answer_held();
         self.drive();
         self.sync(false);
-        self.post();
-        if self.now.since(self.ping_at) >= Micros::millis(500) {
-            self.ping_at = self.now;
-            let state_ok = self.state_ok();
-            let hears: Vec<NodeId> = (0..self.peers.len())
+        self.send_post();
+        if self.now.since(self.company.ping_at) >= Micros::millis(500) {
+            self.company.ping_at = self.now;
+            let state_ok = self.mirror.state_ok(self.now);
+            let hears: Vec<NodeId> = (0..self.company.peers.len())
                 .map(|i| NodeId(i as u8))
-                .filter(|n| self.hears(*n, Micros::millis(1700)))
+                .filter(|n| self.hears(*n, HEARD))
                 .collect();
-            let queued = self.user_writes.len() as u32;
-            self.share_budget(queued);
+            let queued = self.users.writes.len() as u32;
+            let others = self.company.queued(self.now);
+            self.users.share_budget(others, self.nodes.names.len(), self.limits.2);
             for i in 0..self.nodes.names.len() {
                 if i != self.nodes.me.0 as usize {
                     let hears = hears.clone();
@@ -38,44 +39,30 @@
         }
     }
 
-    /// This node's part of the budget for users' changes: an equal one, or,
-    /// when more wait here than elsewhere, what the others leave.
-    fn share_budget(&mut self, queued: u32) {
-        let heard = (0..self.peers.len()).filter(|i| self.hears(NodeId(*i as u8), Micros::millis(1700)));
-        let others: u32 = heard.map(|i| self.peers[i].queued).sum();
-        let equal = 1.0 / self.nodes.names.len() as f64;
-        let part = (queued as f64 / (queued + others).max(1) as f64).max(equal);
-        let rate = self.limits.2 * 0.9 * part;
-        self.user_bucket.set_rate(rate, rate);
-    }
-
     pub(super) fn expire(&mut self) {
-        let now = self.now;
-        let (late, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.waiters).into_iter().partition(|(_, until)| now >= *until);
-        self.waiters = waiting;
-        for (w, _) in late {
+        for w in self.users.expired(self.now) {
             self.out.later(w.request(), "the state service can't be asked");
         }
     }
 
     pub(super) fn follow(&mut self) {
-        if !self.listed {
-            if !self.listing && self.now >= self.retry_list_at {
+        if !self.mirror.listed {
+            if !self.mirror.listing && self.now >= self.mirror.retry_list_at {
                 self.list(None, None, Box::default());
             }
             return;
         }
-        if !self.following && self.now >= self.follow_at {
-            let path = format!("/follow?prefix={}&from={}&hold_ms=10000", keys::ROOT, self.ledger.applied);
+        if !self.mirror.following && self.now >= self.mirror.follow_at {
+            let path =
+                format!("/follow?prefix={}&from={}&hold_ms=10000", keys::ROOT, self.mirror.ledger.applied);
             let id = self.state("GET", path, Vec::new(), Micros::secs(13));
             self.calls.insert(id, Purpose::Follow);
-            self.following = true;
+            self.mirror.following = true;
         }
     }
 
     pub(super) fn list(&mut self, from: Option<String>, first: Option<u64>, ledger: Box<Ledger>) {
-        self.listing = true;
+        self.mirror.listing = true;
         let mut path = format!("/store?prefix={}&limit=500", keys::ROOT);
         if let Some(f) = &from {
             path.push_str("&from=");
@@ -86,27 +73,29 @@
     }
 
     pub(super) fn apply(&mut self, news: News) {
-        let base = self.ledger.applied;
+        let base = self.mirror.ledger.applied;
         for e in &news.news {
             if e.stamp <= base {
                 continue;
             }
             let change = match (&e.put, &e.remove) {
-                (Some(k), _) => match self.ledger.apply(k, Some(&e.v), e.stamp) {
+                (Some(k), _) => match self.mirror.ledger.apply(k, Some(&e.v), e.stamp) {
                     Change::Mail(to) => {
-                        if to == self.nodes.names[self.nodes.me.0 as usize] {
-                            self.open_mail(&e.v);
+                        if to == self.nodes.names[self.nodes.me.0 as usize]
+                            && let Some(p) = self.post.open(&e.v)
+                        {
+                            self.peer(p.from, p.incarnation, p.message);
                         }
                         continue;
                     }
                     c => c,
                 },
-                (None, Some(k)) => self.ledger.apply(k, None, e.stamp),
+                (None, Some(k)) => self.mirror.ledger.apply(k, None, e.stamp),
                 _ => continue,
             };
             self.changed(change);
         }
-        self.ledger.applied = base.max(news.ledger);
+        self.mirror.ledger.applied = base.max(news.ledger);
         if !news.news.is_empty() {
             self.lead();
             self.drive();
@@ -115,28 +104,31 @@
 
     pub(super) fn changed(&mut self, c: Change) {
         let Change::Job(id) = c else { return };
-        if let Some(job) = self.ledger.jobs.get(&id) {
+        if let Some(job) = self.mirror.ledger.jobs.get(&id) {
             self.ctl.job_changed(id, job);
         }
-        if let Some(l) = self.leader.as_mut() {
-            l.job_changed(id, &self.ledger, self.now);
+        if let Some(l) = self.office.leader.as_mut() {
+            l.job_changed(id, &self.mirror.ledger, self.now);
         }
     }
 
     pub(super) fn elect(&mut self) {
-        if !self.loaded {
+        if !self.mirror.loaded {
             return;
         }
-        let turn = if self.ledger.leader.is_none() {
+        let turn = if self.mirror.ledger.leader.is_none() {
             self.my_turn()
         } else {
-            self.vacant_since = None;
+            self.office.vacant_since = None;
             false
         };
-        match self.election.role {
-            Role::Follower => match &self.ledger.leader {
-                None if self.now >= self.election.not_before && !self.state_refuses() && turn => {
-                    self.election.role = Role::Candidate;
+        match self.office.election.role {
+            Role::Follower => match &self.mirror.ledger.leader {
+                None if self.now >= self.office.election.not_before
+                    && !self.mirror.state_refuses(self.now)
+                    && turn =>
+                {
+                    self.office.election.role = Role::Candidate;
                     let life = self.operator.leader_lease.0 / 1000;
                     let body = json!({ "life_ms": life }).to_string().into_bytes();
                     let id = self.state("POST", "/grants".into(), body, Micros::millis(1000));
@@ -144,13 +136,13 @@
                 }
                 Some((rec, _))
                     if rec.node == self.nodes.names[self.nodes.me.0 as usize]
-                        && self.ended_lease != Some(rec.lease) =>
+                        && self.office.ended_lease != Some(rec.lease) =>
                 {
                     // An earlier process of this node led; its lease need not
                     // run out first.
                     info!("ending the lease of this node's earlier process");
                     let path = format!("/grants/{}", rec.lease);
-                    self.ended_lease = Some(rec.lease);
+                    self.office.ended_lease = Some(rec.lease);
                     let id = self.state("DELETE", path, Vec::new(), Micros::millis(1000));
                     self.calls.insert(id, Purpose::EndLease);
                 }
@@ -158,8 +150,8 @@
             },
             Role::Candidate => {}
             Role::Leader { lease, stamp, term } => {
-                if self.ledger.applied >= stamp
-                    && self.ledger.leader.as_ref().is_none_or(|(r, s)| *s != stamp || r.term != term)
+                if self.mirror.ledger.applied >= stamp
+                    && self.mirror.ledger.leader.as_ref().is_none_or(|(r, s)| *s != stamp || r.term != term)
                 {
                     return self.step_down("its key is gone");
                 }
@@ -168,12 +160,12 @@
                     // cluster serves it better.
                     self.end_lease(lease);
                     self.step_down("it hears no other controller");
-                    self.election.not_before = self.now + Micros::secs(4);
+                    self.office.election.not_before = self.now + Micros::secs(4);
                     return;
                 }
-                if self.election.renewal_due(self.now) {
-                    self.election.renewing = true;
-                    self.election.last_sent = self.now;
+                if self.office.election.renewal_due(self.now) {
+                    self.office.election.renewing = true;
+                    self.office.election.last_sent = self.now;
                     let path = format!("/grants/{lease}/renew");
                     let timeout = self.operator.leader_lease.scale(1, 3);
                     let id = self.state("POST", path, Vec::new(), timeout);
@@ -186,77 +178,67 @@
     /// Whether this node, when nobody leads, should try now: those who hear
     /// more of the others go first.
     pub(super) fn my_turn(&mut self) -> bool {
-        let unheard = (0..self.peers.len())
+        let unheard = (0..self.company.peers.len())
             .map(|i| NodeId(i as u8))
-            .filter(|n| *n != self.nodes.me && !self.hears(*n, Micros::millis(1700)) && !self.refuses(*n))
+            .filter(|n| *n != self.nodes.me && !self.hears(*n, HEARD) && !self.company.refuses(*n, self.now))
             .count() as u64;
-        let since = *self.vacant_since.get_or_insert(self.now);
+        let since = *self.office.vacant_since.get_or_insert(self.now);
         self.now.since(since) >= Micros::millis(400 * unheard)
     }
 
-    /// Whether a controller's host is up without its process.
-    pub(super) fn refuses(&self, n: NodeId) -> bool {
-        self.peers
-            .get(n.0 as usize)
-            .and_then(|p| p.refused)
-            .is_some_and(|t| self.now.since(t) < Micros::secs(2))
-    }
-
     /// Whether this leader lost all others, and not because they ended.
     pub(super) fn alone(&mut self) -> bool {
         let others: Vec<NodeId> =
-            (0..self.peers.len()).map(|i| NodeId(i as u8)).filter(|n| *n != self.nodes.me).collect();
+            (0..self.company.peers.len()).map(|i| NodeId(i as u8)).filter(|n| *n != self.nodes.me).collect();
         if others.iter().any(|n| self.hears(*n, Micros::millis(3000))) {
-            self.had_company = true;
+            self.office.had_company = true;
             return false;
         }
-        self.had_company && !others.iter().any(|n| self.refuses(*n))
+        self.office.had_company && !others.iter().any(|n| self.company.refuses(*n, self.now))
     }
 
     pub(super) fn step_down(&mut self, why: &str) {
-        if let Role::Leader { term, lease, .. } = self.election.role {
-            self.ended_lease = Some(lease);
+        if let Role::Leader { term, lease, .. } = self.office.election.role {
+            self.office.ended_lease = Some(lease);
             warn!("no longer leading term {term}: {why}");
         }
         let pause = Micros::millis(200 + self.rng.u64(0..400));
-        self.election.lost(self.now, pause);
-        self.leader = None;
-        self.won = None;
+        self.office.election.lost(self.now, pause);
+        self.office.leader = None;
+        self.office.won = None;
     }
 
     /// The leader's work.
     pub(super) fn lead(&mut self) {
         // The mirror must hold everything that was there when the key was taken.
-        if let Some((term, stamp)) = self.won
-            && self.ledger.applied >= stamp
-            && !self.sizes.is_empty()
+        if let Some((term, stamp)) = self.office.won
+            && self.mirror.ledger.applied >= stamp
+            && !self.market.sizes.is_empty()
         {
-            self.won = None;
-            if self.ledger.leader.as_ref().is_some_and(|(r, s)| *s == stamp && r.term == term) {
-                self.leader_inflight.clear();
-                self.leader_txns = 0;
+            self.office.won = None;
+            if self.mirror.ledger.leader.as_ref().is_some_and(|(r, s)| *s == stamp && r.term == term) {
                 let l = Leader::new(
                     self.ctx.clone(),
                     term,
                     stamp,
-                    &self.ledger,
-                    &self.sizes,
+                    &self.mirror.ledger,
+                    &self.market.sizes,
                     self.now,
                     self.wall_ms,
                 );
-                self.leader = Some(l);
+                self.office.take_up(l);
                 self.sync(true);
             }
         }
-        let may = self.election.may_lead(self.now);
-        let Some(l) = self.leader.as_mut() else { return };
+        let may = self.office.election.may_lead(self.now);
+        let Some(l) = self.office.leader.as_mut() else { return };
         if l.exhausted() {
             return self.step_down("its numbers are used up");
         }
         if may {
-            l.tick(&self.ledger, self.now);
+            l.tick(&self.mirror.ledger, self.now);
         } else {
-            l.stop_cancelled(&self.ledger, self.now);
+            l.stop_cancelled(&self.mirror.ledger, self.now);
         }
         let messages = l.messages(self.now, may);
         for (to, m) in messages {
@@ -269,25 +251,25 @@
     }
 
     pub(super) fn leader_writes(&mut self) {
-        let Role::Leader { stamp: mine, term, .. } = self.election.role else { return };
+        let Role::Leader { stamp: mine, term, .. } = self.office.election.role else { return };
         // What is to be written is looked for in all jobs and machines: not at
         // every input.
         let again = Micros::millis(40);
-        if self.leader_txns >= 3
-            || self.now < self.leader_retry_at
-            || self.now.since(self.leader_wrote_at) < again
+        if self.office.txns >= 3
+            || self.now < self.office.retry_at
+            || self.now.since(self.office.wrote_at) < again
         {
             return;
         }
-        self.leader_wrote_at = self.now;
-        let Some(l) = self.leader.as_mut() else { return };
-        l.note_unrecorded(&self.ledger, self.now);
-        l.note_recorded(&self.ledger);
+        self.office.wrote_at = self.now;
+        let Some(l) = self.office.leader.as_mut() else { return };
+        l.note_unrecorded(&self.mirror.ledger, self.now);
+        l.note_recorded(&self.mirror.ledger);
         let l = &*l;
         let todo: Vec<LeaderWrite> = l
-            .writes(&self.ledger, self.value_limit, self.now)
+            .writes(&self.mirror.ledger, self.value_limit, self.now)
             .into_iter()
-            .filter(|w| !self.leader_inflight.contains(w))
+            .filter(|w| !self.office.inflight.contains(w))
             .collect();
         let mut m = Multi { when: vec![When { path: keys::LEADER.into(), stamp: mine }], writes: Vec::new() };
         let mut taken = Vec::new();
@@ -299,7 +281,7 @@
         };
         for w in todo {
             let cost = match &w {
-                LeaderWrite::End(id) => 1 + self.ledger.jobs.get(id).map_or(0, |j| j.chunks.len()),
+                LeaderWrite::End(id) => 1 + self.mirror.ledger.jobs.get(id).map_or(0, |j| j.chunks.len()),
                 _ => 1,
             };
             if m.writes.len() + cost.min(self.limits.0) > self.limits.0
@@ -313,21 +295,28 @@
                 LeaderWrite::Progress(..) | LeaderWrite::Settle(_) => 1.0,
                 LeaderWrite::Forget(_) => 2.0,
             };
-            if !self.leader_bucket.take(self.now, cost as f64, keep) {
+            if !self.office.bucket.take(self.now, cost as f64, keep) {
                 break;
             }
             let room = match &w {
                 LeaderWrite::End(id) => {
                     m.when.push(When { path: keys::end(*id), stamp: 0 });
-                    for c in
-                        self.ledger.jobs.get(id).iter().flat_map(|j| j.chunks.keys()).take(self.limits.0 - 1)
+                    for c in self
+                        .mirror
+                        .ledger
+                        .jobs
+                        .get(id)
+                        .iter()
+                        .flat_map(|j| j.chunks.keys())
+                        .take(self.limits.0 - 1)
                     {
                         m.writes.push(Write::Remove { remove: keys::progress(*id, *c) });
                     }
                     put(keys::end(*id), json!({"end": "done", "at": self.wall_ms}), &mut m)
                 }
                 LeaderWrite::Machines(ids) => {
-                    let (Some(first), Some(v)) = (ids.first(), l.machines_record(ids, &self.ledger)) else {
+                    let (Some(first), Some(v)) = (ids.first(), l.machines_record(ids, &self.mirror.ledger))
+                    else {
                         continue;
                     };
                     // A late repetition must not undo what was written since.
@@ -338,23 +327,31 @@
                 LeaderWrite::Hire(name) => put(keys::HIRE.into(), json!(name), &mut m),
                 LeaderWrite::Progress(id, chunk) => {
                     let Some(text) = l.progress(*id, *chunk) else { continue };
-                    let stamp =
-                        self.ledger.jobs.get(id).and_then(|j| j.chunks.get(chunk).copied()).unwrap_or(0);
+                    let stamp = self
+                        .mirror
+                        .ledger
+                        .jobs
+                        .get(id)
+                        .and_then(|j| j.chunks.get(chunk).copied())
+                        .unwrap_or(0);
                     let key = keys::progress(*id, *chunk);
                     m.when.push(When { path: key.clone(), stamp });
                     m.when.push(When { path: keys::end(*id), stamp: 0 });
                     put(key, json!(text), &mut m)
                 }
                 LeaderWrite::Settle(id) => {
-                    let Some(job) = self.ledger.jobs.get(id) else { continue };
+                    let Some(job) = self.mirror.ledger.jobs.get(id) else { continue };
                     let key = keys::end(*id);
                     m.when.push(When { path: key.clone(), stamp: job.end_stamp });
                     put(key, json!({"end": "aborted", "at": job.ended_ms, "gone": true}), &mut m)
                 }
                 LeaderWrite::Forget(key) => {
-                    let Some((ids, stamp)) = self.ledger.records.get(key) else { continue };
+                    let Some((ids, stamp)) = self.mirror.ledger.records.get(key) else { continue };
                     m.when.push(When { path: key.clone(), stamp: *stamp });
-                    match l.machines_record(ids, &self.ledger).filter(|_| key.starts_with(keys::MACHINES)) {
+                    match l
+                        .machines_record(ids, &self.mirror.ledger)
+                        .filter(|_| key.starts_with(keys::MACHINES))
+                    {
                         Some(v) => put(key.clone(), v, &mut m),
                         None => {
                             m.writes.push(Write::Remove { remove: key.clone() });
@@ -375,20 +372,22 @@
         if taken.is_empty() {
             return;
         }
-        if let Some(l) = self.leader.as_mut() {
+        if let Some(l) = self.office.leader.as_mut() {
             taken.iter().for_each(|w| l.writing(w, true));
         }
-        self.leader_inflight.extend(taken.iter().cloned());
-        self.leader_txns += 1;
+        self.office.inflight.extend(taken.iter().cloned());
+        self.office.txns += 1;
         let id = self.multi(&m);
         self.calls.insert(id, Purpose::LeaderWrites(term, taken));
     }
 
     pub(super) fn leader_written(&mut self, term: u64, writes: Vec<LeaderWrite>, result: &CallResult) {
-        let Some(l) = self.leader.as_mut().filter(|l| l.term == term) else { return };
-        self.leader_txns = self.leader_txns.saturating_sub(1);
+        if self.office.leader.as_ref().is_none_or(|l| l.term != term) {
+            return;
+        }
+        self.office.returned(&writes);
+        let Some(l) = self.office.leader.as_mut() else { return };
         for w in &writes {
-            self.leader_inflight.remove(w);
             l.writing(w, false);
         }
         match result {
@@ -406,28 +405,31 @@
                 }
                 // The mirror is behind: what failed will show there.
                 debug!("records changed meanwhile: {failed:?}");
-                self.leader_retry_at = self.now + Micros::millis(60);
+                self.office.retry_at = self.now + Micros::millis(60);
             }
             r => {
                 debug!("leader's records not confirmed: {r:?}");
                 let pause = Micros::millis(150 + self.rng.u64(0..200));
-                self.leader_retry_at = self.now + pause;
+                self.office.retry_at = self.now + pause;
             }
         }
     }
 
     pub(super) fn cloud(&mut self, may: bool) {
-        let Some(l) = self.leader.as_mut() else { return };
+        let Some(l) = self.office.leader.as_mut() else { return };
         let term = l.term;
-        let wishes =
-            if may { l.fleet(&self.flavors, self.now) } else { l.deletions(self.now).into_iter().collect() };
+        let wishes = if may {
+            l.fleet(&self.market.flavors, self.now)
+        } else {
+            l.deletions(self.now).into_iter().collect()
+        };
         for w in wishes {
             let keep = match w {
                 CloudWish::Delete(_) => 0.0,
                 CloudWish::Hire(_) => 0.5,
                 CloudWish::List(_) => 1.0,
             };
-            if !self.cloud_bucket.take(self.now, 1.0, keep) {
+            if !self.market.bucket.take(self.now, 1.0, keep) {
                 continue;
             }
             l.wish_sent(&w, self.now);
@@ -464,7 +466,7 @@
     }
 
     pub(super) fn cloud_called(&mut self, term: u64, wish: CloudWish, result: &CallResult) {
-        let Some(l) = self.leader.as_mut().filter(|l| l.term == term) else { return };
+        let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term) else { return };
         let body = match result {
             CallResult::Answer { status: 200, body } => Some(body),
             _ => None,
@@ -477,13 +479,13 @@
             CloudWish::Hire(req) => self.hired(req, result),
             CloudWish::List(_) => {
                 let page: Option<Rentals> = body.and_then(|b| serde_json::from_slice(b).ok());
-                l.listed(page.as_ref().map(|p| &p.hosts[..]), &self.sizes, self.now);
+                l.listed(page.as_ref().map(|p| &p.hosts[..]), &self.market.sizes, self.now);
                 if let Some(last) =
                     page.filter(|p| p.truncated).and_then(|p| p.hosts.last().map(|h| h.name.clone()))
                 {
                     let wish = CloudWish::List(Some(last.clone()));
                     l.wish_sent(&wish, self.now);
-                    self.cloud_bucket.force(self.now, 1.0);
+                    self.market.bucket.force(self.now, 1.0);
                     let id = self.out.call(Call {
                         target: Target::Cloud,
                         method: "GET",
@@ -499,36 +501,30 @@
     }
 
     pub(super) fn hired(&mut self, req: HireRequest, result: &CallResult) {
-        let Some(l) = self.leader.as_mut() else { return };
+        let Some(l) = self.office.leader.as_mut() else { return };
         match result {
             CallResult::Answer { status: 200, body } => {
                 let hosts = serde_json::from_slice::<Hosts>(body).map(|h| h.hosts).unwrap_or_default();
-                l.hired(&req, Some(&hosts), &self.sizes, self.now);
+                l.hired(&req, Some(&hosts), &self.market.sizes, self.now);
             }
             CallResult::Answer { status: 503, body } if body.windows(11).any(|w| w == b"no capacity") => {
-                l.hired(&req, Some(&[]), &self.sizes, self.now);
+                l.hired(&req, Some(&[]), &self.market.sizes, self.now);
             }
             CallResult::Answer { status: 400, body } => {
                 error!("rental refused: {}", String::from_utf8_lossy(body));
-                l.hired(&req, Some(&[]), &self.sizes, self.now);
+                l.hired(&req, Some(&[]), &self.market.sizes, self.now);
             }
-            _ => l.hired(&req, None, &self.sizes, self.now),
+            _ => l.hired(&req, None, &self.market.sizes, self.now),
         }
     }
 
     pub(super) fn flavors(&mut self) {
-        let period = match (self.flavors.is_empty(), self.leader.is_some()) {
-            (true, _) => Micros::millis(1000),
-            (false, true) => Micros::secs(30),
-            (false, false) => Micros::secs(600),
-        };
-        let due = self.flavors_at == Micros(0) || self.now.since(self.flavors_at) >= period;
-        if self.flavors_open || !due {
+        if !self.market.due(self.office.leader.is_some(), self.now) {
             return;
         }
-        self.flavors_open = true;
-        self.flavors_at = self.now;
-        self.cloud_bucket.force(self.now, 1.0);
+        self.market.open = true;
+        self.market.asked_at = self.now;
+        self.market.bucket.force(self.now, 1.0);
         let id = self.out.call(Call {
             target: Target::Cloud,
             method: "GET",
--- /dev/null
+++ b/crates/core/src/node/mirror.rs
@@ -0,0 +1,35 @@
+//! The mirror of the state service, and what is known of the service itself.
+use crate::jobs::Ledger;
+use gorseshore_protocol::ids::Micros;
+
+/// The mirror.
+#[derive(Debug, Default)]
+pub(super) struct Mirror {
+    pub ledger: Ledger,
+    /// All keys were read.
+    pub listed: bool,
+    /// It was up to date once.
+    pub loaded: bool,
+    /// A listing is open.
+    pub listing: bool,
+    /// A watch is open.
+    pub following: bool,
+    /// The next watch is opened no earlier.
+    pub follow_at: Micros,
+    pub retry_list_at: Micros,
+    /// The service's last good and last bad answers.
+    pub ok_at: Option<Micros>,
+    pub fail_at: Option<Micros>,
+}
+
+impl Mirror {
+    /// Whether the state service answered of late.
+    pub fn state_ok(&self, now: Micros) -> bool {
+        self.ok_at.is_some_and(|t| now.since(t) < Micros::millis(2500))
+    }
+
+    /// Whether the last word of the state service was a refusal, just now.
+    pub fn state_refuses(&self, now: Micros) -> bool {
+        self.fail_at > self.ok_at && self.fail_at.is_some_and(|t| now.since(t) < Micros::millis(1500))
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,18 +1,32 @@
 //! A whole controller node: its mirror of the state service, its part in the
 //! election, its block, and the leader's work while it leads.
+mod company;
+mod desk;
 mod duties;
+mod market;
+mod mirror;
+mod office;
 mod peers;
+mod post;
 mod requests;
+mod waiting;
 mod workers;
 
-use crate::controller::{CheckinReply, Controller, Sizes, read_tasks};
-use crate::election::{Election, Role};
+use company::{Company, HEARD};
+use desk::Desk;
+use market::Market;
+use mirror::Mirror;
+use office::Office;
+use post::Post;
+use waiting::{MAX_WAITING, UserWrite, Users, Waiter};
+
+use crate::controller::{CheckinReply, Controller, read_tasks};
+use crate::election::Role;
 use crate::jobs::{self, Change, LeaderRecord, Ledger, MachineRecord, Phase, keys};
 use crate::leader::{CloudWish, Context, HireRequest, Leader, LeaderWrite, View};
 use crate::peer::{Message, Parcel};
-use crate::rate::Bucket;
 use crate::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
-use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts, Rentals};
+use gorseshore_protocol::cloud::{Flavors, Hire, Hosts, Rentals};
 use gorseshore_protocol::ids::{JobId, MachineId, Micros, NodeId, Resources};
 use gorseshore_protocol::job::{JobSpec, Kind};
 use gorseshore_protocol::state::{Grant, Listing, Multi, MultiAnswer, News, When, Write};
@@ -21,7 +35,7 @@
 use gorseshore_settings::{Operator, Platform, Team};
 use log::{debug, error, info, warn};
 use serde_json::json;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Who is who.
 #[derive(Debug, Clone)]
@@ -47,30 +61,6 @@
     }
 }
 
-/// A user's request that waits for proof that the mirror is up to date.
-#[derive(Debug)]
-enum Waiter {
-    Poll(RequestId, JobId),
-    /// A submission whose job may be known; its checked form.
-    Submit(RequestId, JobId, Box<Result<JobSpec, (u16, String)>>),
-    Abort(RequestId, JobId),
-}
-
-impl Waiter {
-    fn request(&self) -> RequestId {
-        match self {
-            Waiter::Poll(r, _) | Waiter::Submit(r, ..) | Waiter::Abort(r, _) => *r,
-        }
-    }
-}
-
-/// A user's change that waits for its turn in the write budget.
-#[derive(Debug)]
-enum UserWrite {
-    Submit(RequestId, Box<JobSpec>),
-    Abort(RequestId, JobId),
-}
-
 /// What a call was for.
 #[derive(Debug)]
 enum Purpose {
@@ -90,15 +80,7 @@
     Probe(MachineId),
 }
 
-struct PeerState {
-    heard: Option<Micros>,
-    refused: Option<Micros>,
-    state_ok: bool,
-    hears: Vec<NodeId>,
-    queued: u32,
-}
-
-/// The node.
+/// The node. Each part owns the state of one duty; what crosses parts is here.
 pub struct Node {
     nodes: Nodes,
     operator: Operator,
@@ -111,59 +93,17 @@
     rng: fastrand::Rng,
     out: Outbox,
     calls: BTreeMap<CallId, Purpose>,
-    ledger: Ledger,
-    listed: bool,
-    loaded: bool,
-    listing: bool,
-    following: bool,
-    follow_at: Micros,
-    barrier_open: bool,
-    barrier_bucket: Bucket,
-    waiters: Vec<(Waiter, Micros)>,
-    user_bucket: Bucket,
-    leader_bucket: Bucket,
-    cloud_bucket: Bucket,
-    user_writes: std::collections::VecDeque<(UserWrite, Micros)>,
-    state_ok_at: Option<Micros>,
-    state_fail_at: Option<Micros>,
-    retry_list_at: Micros,
-    election: Election,
-    won: Option<(u64, u64)>,
-    leader: Option<Leader>,
-    leader_inflight: BTreeSet<LeaderWrite>,
-    leader_txns: usize,
-    leader_retry_at: Micros,
-    leader_wrote_at: Micros,
-    ctl: Controller,
-    sync_at: Micros,
-    sync_term: u64,
-    ping_at: Micros,
-    peers: Vec<PeerState>,
-    flavors: Vec<Flavor>,
-    sizes: Sizes,
-    flavors_at: Micros,
-    flavors_open: bool,
-    held_checkins: BTreeMap<MachineId, (RequestId, Report, Micros)>,
-    leader_known: Option<(u64, NodeId)>,
     incarnation: u64,
-    /// Another controller was heard in this term as leader.
-    had_company: bool,
-    vacant_since: Option<Micros>,
-    /// A lease of this node that was ended, or runs out by itself.
-    ended_lease: Option<u64>,
-    mail: BTreeMap<(NodeId, u8), Message>,
-    mail_at: Micros,
-    mail_count: u64,
-    /// Letters of which parts have come, by the sender's process.
-    letters: BTreeMap<u64, (u64, String, usize)>,
-    /// Machines of others that reported here, when.
-    strangers: BTreeMap<MachineId, Micros>,
-    /// Workers that were sent to the holder of their machine, when.
-    redirected: BTreeMap<MachineId, Micros>,
+    mirror: Mirror,
+    users: Users,
+    office: Office,
+    company: Company,
+    post: Post,
+    market: Market,
+    desk: Desk,
+    ctl: Controller,
 }
 
-const MAX_WAITING: usize = 2000;
-
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(p: &Platform, operator: Operator, seed: u64, incarnation: u64, now: Micros) -> Self {
@@ -192,60 +132,15 @@
             rng: fastrand::Rng::with_seed(seed),
             out: Outbox::default(),
             calls: BTreeMap::new(),
-            ledger: Ledger::default(),
-            listed: false,
-            loaded: false,
-            listing: false,
-            following: false,
-            follow_at: Micros(0),
-            barrier_open: false,
-            barrier_bucket: Bucket::new(d.state.rps * 0.45 / n, d.state.rps * 0.2 / n, now),
-            waiters: Vec::new(),
-            user_bucket: Bucket::new(w * 0.9 / n, w * 0.9 / n, now),
-            leader_bucket: Bucket::new(w * 0.45, w * 0.4, now),
-            cloud_bucket: Bucket::new(d.cloud.rps * 0.85, d.cloud.rps, now),
-            user_writes: Default::default(),
-            state_ok_at: None,
-            state_fail_at: None,
-            retry_list_at: Micros(0),
-            election: Election::new(operator.leader_lease),
-            won: None,
-            leader: None,
-            leader_inflight: BTreeSet::new(),
-            leader_txns: 0,
-            leader_retry_at: Micros(0),
-            leader_wrote_at: Micros(0),
-            ctl: Controller::default(),
-            sync_at: Micros(0),
-            sync_term: 0,
-            ping_at: Micros(0),
-            peers: nodes
-                .names
-                .iter()
-                .map(|_| PeerState {
-                    heard: None,
-                    refused: None,
-                    state_ok: false,
-                    hears: Vec::new(),
-                    queued: 0,
-                })
-                .collect(),
-            flavors: Vec::new(),
-            sizes: Sizes::new(),
-            flavors_at: Micros(0),
-            flavors_open: false,
-            held_checkins: BTreeMap::new(),
-            leader_known: None,
             incarnation: incarnation.max(2),
-            had_company: false,
-            vacant_since: None,
-            ended_lease: None,
-            mail: BTreeMap::new(),
-            mail_at: Micros(0),
-            mail_count: 0,
-            letters: BTreeMap::new(),
-            strangers: BTreeMap::new(),
-            redirected: BTreeMap::new(),
+            mirror: Mirror::default(),
+            users: Users::new(w * 0.9 / n, d.state.rps / n, now),
+            office: Office::new(&operator, w, now),
+            company: Company::new(nodes.names.len()),
+            post: Post::default(),
+            market: Market::new(d.cloud.rps, now),
+            desk: Desk::default(),
+            ctl: Controller::default(),
             operator,
             nodes,
         }
@@ -259,16 +154,16 @@
             Input::Tick => self.tick(),
             Input::Request { id, method, path, body } => self.request(id, &method, &path, &body),
             Input::Gone(id) => {
-                self.held_checkins.retain(|_, (r, ..)| *r != id);
+                self.desk.held.retain(|_, (r, ..)| *r != id);
             }
             Input::Called { id, result } => self.called(id, result),
             Input::Refused(n) => {
-                if let Some(p) = self.peers.get_mut(n.0 as usize) {
+                if let Some(p) = self.company.peers.get_mut(n.0 as usize) {
                     p.refused = Some(self.now);
                 }
             }
             Input::Peer { from, incarnation, message } => {
-                if let Some(p) = self.peers.get_mut(from.0 as usize) {
+                if let Some(p) = self.company.peers.get_mut(from.0 as usize) {
                     p.heard = Some(self.now);
                 }
                 self.peer(from, incarnation, message);
@@ -280,7 +175,7 @@
     /// Whether what this node keeps as things change agrees with a fresh
     /// count: for tests.
     pub fn check_kept(&self) -> Result<(), String> {
-        self.leader.as_ref().map_or(Ok(()), Leader::check_sums)
+        self.office.leader.as_ref().map_or(Ok(()), Leader::check_sums)
     }
 
     fn called(&mut self, id: CallId, result: CallResult) {
@@ -290,32 +185,32 @@
         if of_state && !matches!(p, Purpose::Follow) {
             match &result {
                 CallResult::Answer { status, .. } if *status < 500 && *status != 429 => {
-                    self.state_ok_at = Some(self.now)
+                    self.mirror.ok_at = Some(self.now)
                 }
                 CallResult::Answer { status: 429, .. } => {}
-                _ => self.state_fail_at = Some(self.now),
+                _ => self.mirror.fail_at = Some(self.now),
             }
         }
         match p {
             Purpose::List { from, first, ledger } => self.listed_page(from, first, ledger, result),
             Purpose::Follow => {
-                self.following = false;
+                self.mirror.following = false;
                 match result {
                     CallResult::Answer { status: 200, body } => match serde_json::from_slice::<News>(&body) {
                         Ok(n) => {
-                            self.state_ok_at = Some(self.now);
+                            self.mirror.ok_at = Some(self.now);
                             self.apply(n);
                         }
                         Err(e) => {
                             warn!("unreadable news: {e}");
-                            self.follow_at = self.now + Micros::millis(500);
+                            self.mirror.follow_at = self.now + Micros::millis(500);
                         }
                     },
                     CallResult::Answer { status: 410, .. } => {
                         info!("too far behind: reading the state anew");
-                        self.listed = false;
+                        self.mirror.listed = false;
                     }
-                    _ => self.follow_at = self.now + Micros::millis(150 + self.rng.u64(0..150)),
+                    _ => self.mirror.follow_at = self.now + Micros::millis(150 + self.rng.u64(0..150)),
                 }
                 self.follow();
             }
@@ -327,8 +222,8 @@
                     _ => None,
                 };
                 match lease {
-                    Some(g) if self.ledger.leader.is_none() => {
-                        let (term, stamp) = self.ledger.term;
+                    Some(g) if self.mirror.ledger.leader.is_none() => {
+                        let (term, stamp) = self.mirror.ledger.term;
                         let rec = LeaderRecord {
                             node: self.nodes.names[self.nodes.me.0 as usize].clone(),
                             term: term + 1,
@@ -352,48 +247,43 @@
                             self.end_lease(g.hold);
                         }
                         let pause = Micros::millis(150 + self.rng.u64(0..300));
-                        self.election.lost(self.now, pause);
+                        self.office.election.lost(self.now, pause);
                     }
                 }
             }
             Purpose::TakeKey { asked, lease, term } => match &result {
                 CallResult::Answer { status: 200, body } => {
                     let stamp = serde_json::from_slice::<MultiAnswer>(body).map_or(0, |a| a.ledger);
-                    self.election.won(term, lease, stamp, asked);
-                    self.had_company = false;
-                    self.won = Some((term, stamp));
+                    self.office.election.won(term, lease, stamp, asked);
+                    self.office.had_company = false;
+                    self.office.won = Some((term, stamp));
                     self.barrier();
                 }
                 _ => {
                     // Lost, or nobody knows: without its lease a late key goes too.
                     self.end_lease(lease);
                     let pause = Micros::millis(200 + self.rng.u64(0..400));
-                    self.election.lost(self.now, pause);
+                    self.office.election.lost(self.now, pause);
                 }
             },
             Purpose::Renew { sent } => match result {
-                CallResult::Answer { status: 200, .. } => self.election.renewed(sent),
+                CallResult::Answer { status: 200, .. } => self.office.election.renewed(sent),
                 CallResult::Answer { status: 404, .. } => {
-                    if self.election.term().is_some() {
+                    if self.office.election.term().is_some() {
                         self.step_down("its lease ended");
                     }
                 }
-                _ => self.election.renewing = false,
+                _ => self.office.election.renewing = false,
             },
             Purpose::EndLease | Purpose::Mail => {}
             Purpose::LeaderWrites(term, w) => self.leader_written(term, w, &result),
             Purpose::Cloud(term, w) => self.cloud_called(term, w, &result),
             Purpose::Flavors => {
-                self.flavors_open = false;
+                self.market.open = false;
                 if let CallResult::Answer { status: 200, body } = &result
                     && let Ok(f) = serde_json::from_slice::<Flavors>(body)
                 {
-                    self.sizes = f
-                        .builds
-                        .iter()
-                        .map(|b| (b.sku.clone(), Resources::have(b.cpus, b.gpus, b.memory_gb)))
-                        .collect();
-                    self.flavors = f.builds;
+                    self.market.take(f);
                 }
             }
             Purpose::Worker(m) => {
@@ -425,14 +315,14 @@
         mut ledger: Box<Ledger>,
         result: CallResult,
     ) {
-        self.listing = false;
+        self.mirror.listing = false;
         let page: Option<Listing> = match &result {
             CallResult::Answer { status: 200, body } => serde_json::from_slice(body).ok(),
             _ => None,
         };
         let Some(page) = page else {
             let pause = Micros::millis(300 + self.rng.u64(0..300));
-            self.retry_list_at = self.now + pause;
+            self.mirror.retry_list_at = self.now + pause;
             if from.is_some() {
                 debug!("reading the state was interrupted");
             }
@@ -448,27 +338,31 @@
             return self.list(Some(last.path.clone()), Some(first), ledger);
         }
         ledger.applied = first;
-        self.ledger = *ledger;
-        self.listed = true;
-        for (id, job) in &self.ledger.jobs {
+        self.mirror.ledger = *ledger;
+        self.mirror.listed = true;
+        for (id, job) in &self.mirror.ledger.jobs {
             self.ctl.job_changed(*id, job);
         }
-        if let Some(l) = self.leader.as_mut() {
-            for id in self.ledger.jobs.keys() {
-                l.job_changed(*id, &self.ledger, self.now);
+        if let Some(l) = self.office.leader.as_mut() {
+            for id in self.mirror.ledger.jobs.keys() {
+                l.job_changed(*id, &self.mirror.ledger, self.now);
             }
         }
-        info!("state read: {} jobs, {} machines", self.ledger.jobs.len(), self.ledger.machines.len());
+        info!(
+            "state read: {} jobs, {} machines",
+            self.mirror.ledger.jobs.len(),
+            self.mirror.ledger.machines.len()
+        );
         self.barrier();
         self.follow();
     }
 
     fn barrier_done(&mut self, waiting: Vec<(Waiter, Micros)>, result: CallResult) {
-        self.barrier_open = false;
+        self.users.barrier_open = false;
         let news: Option<News> = match &result {
             CallResult::Answer { status: 200, body } => serde_json::from_slice(body).ok(),
             CallResult::Answer { status: 410, .. } => {
-                self.listed = false;
+                self.mirror.listed = false;
                 None
             }
             _ => None,
@@ -476,8 +370,8 @@
         match news {
             Some(n) => {
                 self.apply(n);
-                if !self.loaded {
-                    self.loaded = true;
+                if !self.mirror.loaded {
+                    self.mirror.loaded = true;
                     info!("ready");
                 }
                 for (w, _) in waiting {
@@ -488,14 +382,14 @@
                 let limited = matches!(result, CallResult::Answer { status: 429 | 410, .. });
                 for (w, until) in waiting {
                     if limited && self.now < until {
-                        self.waiters.push((w, until));
+                        self.users.waiters.push((w, until));
                     } else {
                         self.out.later(w.request(), "the state service can't be asked");
                     }
                 }
             }
         }
-        if !self.waiters.is_empty() {
+        if !self.users.waiters.is_empty() {
             self.barrier();
         }
     }
--- /dev/null
+++ b/crates/core/src/node/post.rs
@@ -0,0 +1,56 @@
+//! Letters through the state service, for messages that no other way is left
+//! for: outgoing ones, and the parts of incoming ones.
+use crate::peer::{Message, Parcel};
+use data_encoding::BASE64;
+use gorseshore_protocol::ids::{Micros, NodeId};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// A part of a letter as it is recorded: sender's process, number, place,
+/// number of parts, text.
+type Part = (u64, u64, usize, usize, String);
+
+/// The post office.
+#[derive(Debug, Default)]
+pub(super) struct Post {
+    /// The last message of each sort for each controller.
+    pub outgoing: BTreeMap<(NodeId, u8), Message>,
+    pub next_at: Micros,
+    pub count: u64,
+    /// Letters of which parts have come, by the sender's process: number, text
+    /// so far, parts so far.
+    letters: BTreeMap<u64, (u64, String, usize)>,
+}
+
+impl Post {
+    /// Keeps a message until it can be posted; only what stands for a whole
+    /// state is worth it.
+    pub fn keep(&mut self, to: NodeId, m: &Message) {
+        let sort = match m {
+            Message::Sync { .. } => 0,
+            Message::Update { .. } => 1,
+            _ => return,
+        };
+        self.outgoing.insert((to, sort), m.clone());
+    }
+
+    /// A part came; all parts of one letter come together and in order. The
+    /// parcel, once it is whole.
+    pub fn open(&mut self, v: &serde_json::Value) -> Option<Parcel> {
+        let (sender, number, i, n, text) = Part::deserialize(v).ok()?;
+        let letter = self.letters.entry(sender).or_default();
+        if i == 0 {
+            *letter = (number, String::new(), 0);
+        }
+        if letter.0 != number || letter.2 != i {
+            return None;
+        }
+        letter.1.push_str(&text);
+        letter.2 += 1;
+        if letter.2 < n {
+            return None;
+        }
+        let (_, text, _) = self.letters.remove(&sender)?;
+        Parcel::unpack(&BASE64.decode(text.as_bytes()).ok()?)
+    }
+}
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -36,33 +36,23 @@
         }
     }
 
-    pub(super) fn state_ok(&self) -> bool {
-        self.state_ok_at.is_some_and(|t| self.now.since(t) < Micros::millis(2500))
-    }
-
-    /// Whether the last word of the state service was a refusal, just now.
-    pub(super) fn state_refuses(&self) -> bool {
-        self.state_fail_at > self.state_ok_at
-            && self.state_fail_at.is_some_and(|t| self.now.since(t) < Micros::millis(1500))
-    }
-
     pub(super) fn ready(&self) -> bool {
-        if !self.loaded {
+        if !self.mirror.loaded {
             return false;
         }
-        if self.state_ok() || self.nodes.names.len() == 1 {
+        if self.mirror.state_ok(self.now) || self.nodes.names.len() == 1 {
             return true;
         }
         // Alone refused: the others serve the users. When all lost the state
         // service, leaving would help nobody.
-        let fresh = |p: &&PeerState| p.heard.is_some_and(|t| self.now.since(t) < Micros::millis(2500));
-        let mut heard = self.peers.iter().filter(fresh).peekable();
+        let fresh = |p: &&company::Peer| p.heard.is_some_and(|t| self.now.since(t) < Micros::millis(2500));
+        let mut heard = self.company.peers.iter().filter(fresh).peekable();
         heard.peek().is_some() && heard.all(|p| !p.state_ok)
     }
 
     /// The answer for a job whose end is known; ends never change.
     pub(super) fn final_answer(&mut self, id: RequestId, job: JobId) -> bool {
-        let Some(j) = self.ledger.jobs.get(&job) else { return false };
+        let Some(j) = self.mirror.ledger.jobs.get(&job) else { return false };
         let (stage, done) = match j.phase {
             Phase::Active => return false,
             Phase::Done => ("done", j.tasks),
@@ -76,7 +66,7 @@
         if self.final_answer(id, job) {
             return;
         }
-        let Some(j) = self.ledger.jobs.get(&job) else {
+        let Some(j) = self.mirror.ledger.jobs.get(&job) else {
             return self.out.answer(id, 404, users::error("no such job"));
         };
         let running = self.ctl.running.get(&job).copied().unwrap_or(0);
@@ -91,11 +81,14 @@
         if self.final_answer(id, job) {
             return;
         }
-        if !self.loaded || self.state_refuses() || self.waiters.len() >= MAX_WAITING {
+        if !self.mirror.loaded
+            || self.mirror.state_refuses(self.now)
+            || self.users.waiters.len() >= MAX_WAITING
+        {
             return self.out.later(id, "the state service can't be asked");
         }
         let until = self.now + limit;
-        self.waiters.push((w, until));
+        self.users.waiters.push((w, until));
         self.barrier();
     }
 
@@ -110,14 +103,17 @@
             return self.out.answer(id, 400, users::error(&reason));
         };
         let checked = parsed.map_err(|e| (400, e)).and_then(|s| self.check(s));
-        let known = self.ledger.jobs.contains_key(&job);
+        let known = self.mirror.ledger.jobs.contains_key(&job);
         match checked {
             Ok(spec) if !known => {
-                if !self.loaded || self.state_refuses() || self.user_writes.len() >= MAX_WAITING {
+                if !self.mirror.loaded
+                    || self.mirror.state_refuses(self.now)
+                    || self.users.writes.len() >= MAX_WAITING
+                {
                     return self.out.later(id, "the state service can't be asked");
                 }
                 let until = self.now + Micros::millis(3500);
-                self.user_writes.push_back((UserWrite::Submit(id, Box::new(spec)), until));
+                self.users.writes.push_back((UserWrite::Submit(id, Box::new(spec)), until));
                 self.write_users();
             }
             checked => self.wait(Waiter::Submit(id, job, Box::new(checked)), Micros::millis(3500)),
@@ -134,10 +130,10 @@
         if max.cpu > 0 && s.need.cpu * n > max.cpu || max.gpu > 0 && s.need.gpu * n > max.gpu {
             return Err((422, format!("more than the limit of team {}", s.team)));
         }
-        if self.flavors.is_empty() {
+        if self.market.flavors.is_empty() {
             return Err((503, "the machine types are not known yet".into()));
         }
-        let fits = self.flavors.iter().any(|f| {
+        let fits = self.market.flavors.iter().any(|f| {
             let size = Resources::have(f.cpus, f.gpus, f.memory_gb);
             f.yards.iter().any(|z| s.allows(&f.sku, z, false, &size))
         });
@@ -152,17 +148,17 @@
 
     /// Asks once for all that wait whether the mirror is up to date.
     pub(super) fn barrier(&mut self) {
-        if self.barrier_open || !self.listed {
+        if self.users.barrier_open || !self.mirror.listed {
             return;
         }
-        if !self.barrier_bucket.take(self.now, 1.0, 0.0) {
+        if !self.users.barrier_bucket.take(self.now, 1.0, 0.0) {
             return;
         }
-        let waiting = std::mem::take(&mut self.waiters);
-        let path = format!("/follow?prefix={}&from={}&hold_ms=0", keys::ROOT, self.ledger.applied);
+        let waiting = std::mem::take(&mut self.users.waiters);
+        let path = format!("/follow?prefix={}&from={}&hold_ms=0", keys::ROOT, self.mirror.ledger.applied);
         let id = self.state("GET", path, Vec::new(), Micros::millis(1200));
         self.calls.insert(id, Purpose::Barrier(waiting));
-        self.barrier_open = true;
+        self.users.barrier_open = true;
     }
 
     pub(super) fn state(
@@ -184,13 +180,13 @@
         match w {
             Waiter::Poll(id, job) => self.current_answer(id, job),
             Waiter::Submit(id, job, checked) => {
-                if self.ledger.jobs.contains_key(&job) {
+                if self.mirror.ledger.jobs.contains_key(&job) {
                     return self.current_answer(id, job);
                 }
                 match *checked {
                     Ok(spec) => {
                         let until = self.now + Micros::millis(3000);
-                        self.user_writes.push_back((UserWrite::Submit(id, Box::new(spec)), until));
+                        self.users.writes.push_back((UserWrite::Submit(id, Box::new(spec)), until));
                         self.write_users();
                     }
                     Err((503, reason)) => self.out.later(id, &reason),
@@ -201,11 +197,11 @@
                 if self.final_answer(id, job) {
                     return;
                 }
-                if !self.ledger.jobs.contains_key(&job) {
+                if !self.mirror.ledger.jobs.contains_key(&job) {
                     return self.out.answer(id, 404, users::error("no such job"));
                 }
                 let until = self.now + Micros::millis(3000);
-                self.user_writes.push_back((UserWrite::Abort(id, job), until));
+                self.users.writes.push_back((UserWrite::Abort(id, job), until));
                 self.write_users();
             }
         }
@@ -213,14 +209,14 @@
 
     /// Sends users' changes as far as the budget goes.
     pub(super) fn write_users(&mut self) {
-        while let Some((w, until)) = self.user_writes.pop_front() {
+        while let Some((w, until)) = self.users.writes.pop_front() {
             if self.now > until {
                 let (UserWrite::Submit(id, _) | UserWrite::Abort(id, _)) = w;
                 self.out.later(id, "the state service is slow");
                 continue;
             }
-            if !self.user_bucket.take(self.now, 1.0, 0.0) {
-                self.user_writes.push_front((w, until));
+            if !self.users.bucket.take(self.now, 1.0, 0.0) {
+                self.users.writes.push_front((w, until));
                 return;
             }
             let (when, key, v) = match &w {
@@ -230,7 +226,7 @@
                 }
                 UserWrite::Abort(_, job) => {
                     let key = keys::end(*job);
-                    let stamp = self.ledger.jobs.get(job).map_or(0, |j| j.stamp);
+                    let stamp = self.mirror.ledger.jobs.get(job).map_or(0, |j| j.stamp);
                     let when =
                         vec![When { path: key.clone(), stamp: 0 }, When { path: keys::job(*job), stamp }];
                     (when, key, json!({"end": "aborted", "at": self.wall_ms}))
@@ -262,8 +258,8 @@
             }
             (w, CallResult::Answer { status: 429, .. }) => {
                 let pause = Micros::millis(100 + self.rng.u64(0..100));
-                self.user_bucket.force(self.now, 1.0);
-                self.user_writes.push_back((w, self.now + Micros::millis(2000) - pause));
+                self.users.bucket.force(self.now, 1.0);
+                self.users.writes.push_back((w, self.now + Micros::millis(2000) - pause));
             }
             (UserWrite::Submit(id, _) | UserWrite::Abort(id, _), _) => {
                 self.out.later(id, "the state service did not confirm it");
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -10,7 +10,7 @@
             return self.out.answer(id, 400, users::error("a task's name is unreadable"));
         };
         let machine = MachineId::from(&*r.host);
-        match self.ctl.checkin(&r, tasks, &self.ledger, self.now) {
+        match self.ctl.checkin(&r, tasks, &self.mirror.ledger, self.now) {
             CheckinReply::Orders(baton, orders) => {
                 let body = serde_json::to_vec(&CheckinAnswer { baton: baton.0, orders }).unwrap_or_default();
                 self.out.answer(id, 200, body);
@@ -28,7 +28,7 @@
                     // A grant may come in a moment: the answer waits for it.
                     None => {
                         let until = self.now + Micros::millis(600);
-                        if let Some((old, r, _)) = self.held_checkins.insert(machine, (id, r, until)) {
+                        if let Some((old, r, _)) = self.desk.held.insert(machine, (id, r, until)) {
                             self.keep_alive(old, &r);
                         }
                     }
@@ -41,14 +41,14 @@
     /// The holder that a worker is sent to, unless it was sent there just now
     /// and came back: it can't reach it.
     fn holder_to_name(&mut self, machine: &MachineId, holder: Option<NodeId>) -> Option<NodeId> {
-        let n = holder.filter(|n| *n != self.nodes.me && self.hears(*n, Micros::millis(1700)))?;
+        let n = holder.filter(|n| *n != self.nodes.me && self.hears(*n, HEARD))?;
         let now = self.now;
-        self.redirected.retain(|_, t| now.since(*t) < Micros::secs(12));
-        match self.redirected.get(machine) {
+        self.desk.redirected.retain(|_, t| now.since(*t) < Micros::secs(12));
+        match self.desk.redirected.get(machine) {
             Some(t) if now.since(*t) > Micros::millis(1500) => None,
             Some(_) => Some(n),
             None => {
-                self.redirected.insert(machine.clone(), now);
+                self.desk.redirected.insert(machine.clone(), now);
                 Some(n)
             }
         }
@@ -60,7 +60,7 @@
     /// not touched. Only what is over is stopped.
     fn keep_alive(&mut self, id: RequestId, r: &Report) {
         let tasks = read_tasks(r).unwrap_or_default();
-        let orders = Controller::stops_for_stranger(&tasks, &self.ledger);
+        let orders = Controller::stops_for_stranger(&tasks, &self.mirror.ledger);
         let body = serde_json::to_vec(&CheckinAnswer { baton: r.baton, orders }).unwrap_or_default();
         self.out.answer(id, 200, body);
     }
@@ -74,9 +74,9 @@
     }
 
     pub(super) fn tell_seen(&mut self, id: &MachineId, rec: MachineRecord) {
-        if self.ledger.machines.contains_key(id) {
+        if self.mirror.ledger.machines.contains_key(id) {
             // The leader knows it: the next `Sync` names it.
-            self.strangers.insert(id.clone(), self.now);
+            self.desk.strangers.insert(id.clone(), self.now);
             self.ctl.dirty = true;
         } else if let Some(to) = self.leader_node() {
             let m = Message::Seen {
@@ -92,15 +92,16 @@
 
     pub(super) fn answer_held(&mut self) {
         let due: Vec<MachineId> = self
-            .held_checkins
+            .desk
+            .held
             .iter()
             .filter(|(m, (.., until))| self.ctl.holds(m) || self.now >= *until)
             .map(|(m, _)| m.clone())
             .collect();
         for m in due {
-            let Some((id, r, _)) = self.held_checkins.remove(&m) else { continue };
+            let Some((id, r, _)) = self.desk.held.remove(&m) else { continue };
             let tasks = read_tasks(&r).unwrap_or_default();
-            match self.ctl.checkin(&r, tasks, &self.ledger, self.now) {
+            match self.ctl.checkin(&r, tasks, &self.mirror.ledger, self.now) {
                 CheckinReply::Orders(baton, orders) => {
                     let body =
                         serde_json::to_vec(&CheckinAnswer { baton: baton.0, orders }).unwrap_or_default();
@@ -116,7 +117,7 @@
 
     /// Sends what the block's workers should hear.
     pub(super) fn drive(&mut self) {
-        for (call, machine) in self.ctl.drive(&self.ledger, self.now, &mut self.out) {
+        for (call, machine) in self.ctl.drive(&self.mirror.ledger, self.now, &mut self.out) {
             self.calls.insert(call, Purpose::Worker(machine));
         }
     }
