--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs, and the mirror of the state service that every controller keeps.
 use gorseshore_protocol::ids::{JobId, MachineId, Resources};
-use gorseshore_protocol::job::{JobSpec, Kind, Rank};
+use gorseshore_protocol::job::{JobSpec, Kind, Preference, Rank};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
@@ -46,6 +46,10 @@
     save_s: f64,
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     deadline_s: Option<f64>,
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    attempts: Option<u32>,
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    prefer: Vec<Preference>,
 }
 
 fn is_default<T: Default + PartialEq>(v: &T) -> bool {
@@ -72,6 +76,8 @@
             checkpoint_s: s.checkpoint_s,
             save_s: s.save_s,
             deadline_s: s.deadline_s,
+            attempts: s.attempts,
+            prefer: s.prefer.clone(),
         }
     }
 
@@ -99,6 +105,8 @@
             checkpoint_s: r.checkpoint_s,
             save_s: r.save_s,
             deadline_s: r.deadline_s,
+            attempts: r.attempts,
+            prefer: r.prefer,
         })
     }
 
@@ -124,6 +132,8 @@
             checkpoint_s: at(row, 14)?,
             save_s: at(row, 15)?,
             deadline_s: at(row, 16)?,
+            attempts: None,
+            prefer: Vec::new(),
         })
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -22,7 +22,7 @@
 }
 
 /// Smaller is better.
-pub type Score = (u8, u64, u8, u64);
+pub type Score = (u64, u8, u64, u8, u64);
 
 /// How well a machine suits, smaller is better; `None` if it may not or can't
 /// hold the task.
@@ -39,11 +39,14 @@
     let kind = (spec.spot && !c.spot) as u8;
     let left = c.free.minus(spec.need).cpu;
     let fetch = !c.image as u8;
+    // What the job prefers comes before the fetch, but no array takes room on
+    // ordinary machines for it.
+    let dislike = spec.dislike(c.build, c.zone);
     Some(match spec.kind {
         // Replicas keep to the zone with the most ordinary machines: those of
         // spread jobs need the room in the others.
-        Kind::Service => (fetch, u64::MAX - c.zone_cpu, kind, left),
-        Kind::Array => (kind, 0, fetch, left),
+        Kind::Service => (dislike, fetch, u64::MAX - c.zone_cpu, kind, left),
+        Kind::Array => (0, kind, dislike, fetch, left),
     })
 }
 
--- /dev/null
+++ b/crates/nomad/samples/15-zero.nomad.hcl
@@ -0,0 +1,9 @@
+job "night-pause" {
+  type = "batch"
+  group "work" {
+    count = 0
+    task "work" {
+      driver = "exec"
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/samples/23-nowhere.nomad.hcl
@@ -0,0 +1,8 @@
+job "nowhere" {
+  datacenters = ["south"]
+  group "web" {
+    task "web" {
+      driver = "exec"
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/samples/27-broken.nomad.hcl
@@ -0,0 +1,8 @@
+job "broken" {
+  group "web" {
+    count = 2
+    task "web" {
+      driver = "exec
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/src/functions.rs
@@ -0,0 +1,568 @@
+//! The common functions of HCL2. Those that would read the planner's machine,
+//! its clock or chance are refused: a file means the same wherever it is read.
+use crate::eval::{insert, same};
+use crate::tree::{Datum, Node, number_text};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use sha2::{Digest, Sha256, Sha512};
+
+type Out = Result<Datum, String>;
+
+/// Longest list that `range` makes.
+const MAX_RANGE: usize = 100_000;
+
+fn list(items: impl IntoIterator<Item = Datum>, at: usize) -> Datum {
+    Datum::List(items.into_iter().map(|datum| Node { at, datum }).collect())
+}
+
+fn text(d: &Datum) -> Result<String, String> {
+    d.text().ok_or_else(|| format!("text is wanted, not {}", d.kind()))
+}
+
+fn number(d: &Datum) -> Result<f64, String> {
+    match d {
+        Datum::Number(n) => Ok(*n),
+        Datum::Text(s) => s.trim().parse().map_err(|_| format!("\"{s}\" is not a number")),
+        d => Err(format!("a number is wanted, not {}", d.kind())),
+    }
+}
+
+fn whole(d: &Datum) -> Result<i64, String> {
+    let n = number(d)?;
+    if n.fract() == 0.0 && n.abs() < 9e15 { Ok(n as i64) } else { Err(format!("{n} is not a whole number")) }
+}
+
+fn items(d: &Datum) -> Result<&[Node], String> {
+    match d {
+        Datum::List(l) => Ok(l),
+        d => Err(format!("a list is wanted, not {}", d.kind())),
+    }
+}
+
+fn map(d: &Datum) -> Result<&[(String, Node)], String> {
+    match d {
+        Datum::Map(m) => Ok(m),
+        d => Err(format!("a map is wanted, not {}", d.kind())),
+    }
+}
+
+/// Calls a function; the error is the reason without its place.
+pub fn call(name: &str, a: &[Datum], at: usize) -> Out {
+    let text_of = |i: usize| text(&a[i]);
+    let need = |least: usize, most: usize| {
+        if (least..=most).contains(&a.len()) {
+            return Ok(());
+        }
+        let want = match (least, most) {
+            (l, m) if l == m => format!("{l}"),
+            (l, usize::MAX) => format!("at least {l}"),
+            (l, m) => format!("{l} to {m}"),
+        };
+        Err(format!("{name} takes {want} arguments, not {}", a.len()))
+    };
+    let t = |s: String| Ok(Datum::Text(s));
+    let n = |v: f64| {
+        if v.is_finite() { Ok(Datum::Number(v)) } else { Err(format!("{name} has no finite result")) }
+    };
+    match name {
+        "upper" | "lower" | "title" | "trimspace" | "chomp" | "strrev" | "strlen" | "base64encode"
+        | "base64decode" | "sha256" | "sha512" | "urlencode" | "jsondecode" => {
+            need(1, 1)?;
+            let s = text_of(0)?;
+            match name {
+                "upper" => t(s.to_uppercase()),
+                "lower" => t(s.to_lowercase()),
+                "title" => t(s.split_inclusive(char::is_whitespace).map(capital).collect()),
+                "trimspace" => t(s.trim().to_owned()),
+                "chomp" => t(s.trim_end_matches(['\r', '\n']).to_owned()),
+                "strrev" => t(s.chars().rev().collect()),
+                "strlen" => n(s.chars().count() as f64),
+                "base64encode" => t(STANDARD.encode(s)),
+                "base64decode" => {
+                    let bytes = STANDARD.decode(s).map_err(|e| format!("not base64: {e}"))?;
+                    t(String::from_utf8(bytes).map_err(|_| "what is decoded is not text")?)
+                }
+                "sha256" => t(hex::encode(Sha256::digest(s))),
+                "sha512" => t(hex::encode(Sha512::digest(s))),
+                "urlencode" => {
+                    t(percent_encoding::utf8_percent_encode(&s, percent_encoding::NON_ALPHANUMERIC)
+                        .to_string())
+                }
+                _ => {
+                    let v: serde_json::Value =
+                        serde_json::from_str(&s).map_err(|e| format!("not JSON: {e}"))?;
+                    Ok(Datum::from_json(&v, at))
+                }
+            }
+        }
+        "trim" | "trimprefix" | "trimsuffix" => {
+            need(2, 2)?;
+            let (s, x) = (text_of(0)?, text_of(1)?);
+            t(match name {
+                "trim" => s.trim_matches(|c| x.contains(c)).to_owned(),
+                "trimprefix" => s.strip_prefix(&*x).unwrap_or(&s).to_owned(),
+                _ => s.strip_suffix(&*x).unwrap_or(&s).to_owned(),
+            })
+        }
+        "replace" => {
+            need(3, 3)?;
+            let (s, x, y) = (text_of(0)?, text_of(1)?, text_of(2)?);
+            // Between /s, the pattern is a regular expression.
+            match x.strip_prefix('/').and_then(|p| p.strip_suffix('/')).filter(|p| !p.is_empty()) {
+                Some(p) => regex_replace(&s, p, &y).map(Datum::Text),
+                None if x.is_empty() => Err("the text to replace is empty".into()),
+                None => {
+                    bounded(s.len() + s.matches(&x).count().saturating_mul(y.len()))?;
+                    t(s.replace(&x, &y))
+                }
+            }
+        }
+        "regex_replace" => {
+            need(3, 3)?;
+            regex_replace(&text_of(0)?, &text_of(1)?, &text_of(2)?).map(Datum::Text)
+        }
+        "substr" => {
+            need(3, 3)?;
+            let chars: Vec<char> = text_of(0)?.chars().collect();
+            let (from, len) = (whole(&a[1])?, whole(&a[2])?);
+            let from = if from < 0 { chars.len() as i64 + from } else { from }.clamp(0, chars.len() as i64);
+            let end = if len < 0 { chars.len() as i64 } else { (from + len).min(chars.len() as i64) };
+            t(chars[from as usize..end as usize].iter().collect())
+        }
+        "indent" => {
+            need(2, 2)?;
+            let pad = " ".repeat(whole(&a[0])?.clamp(0, 200) as usize);
+            let s = text_of(1)?;
+            bounded(s.len() + s.matches('\n').count() * pad.len())?;
+            t(s.replace('\n', &format!("\n{pad}")))
+        }
+        "join" => {
+            need(2, usize::MAX)?;
+            let sep = text_of(0)?;
+            let mut parts = Vec::new();
+            for l in &a[1..] {
+                for x in items(l)? {
+                    parts.push(text(&x.datum)?);
+                }
+            }
+            bounded(parts.len().saturating_mul(sep.len()) + parts.iter().map(String::len).sum::<usize>())?;
+            t(parts.join(&sep))
+        }
+        "split" => {
+            need(2, 2)?;
+            let (sep, s) = (text_of(0)?, text_of(1)?);
+            if sep.is_empty() {
+                bounded(s.len() * 64)?;
+                return Ok(list(s.chars().map(|c| Datum::Text(c.to_string())), at));
+            }
+            Ok(list(s.split(&*sep).map(|p| Datum::Text(p.to_owned())), at))
+        }
+        "startswith" | "endswith" | "strcontains" => {
+            need(2, 2)?;
+            let (s, x) = (text_of(0)?, text_of(1)?);
+            Ok(Datum::Bool(match name {
+                "startswith" => s.starts_with(&*x),
+                "endswith" => s.ends_with(&*x),
+                _ => s.contains(&*x),
+            }))
+        }
+        "format" => {
+            need(1, usize::MAX)?;
+            t(format_text(&text_of(0)?, &a[1..])?)
+        }
+        "formatlist" => {
+            need(2, usize::MAX)?;
+            let rows = a[1..].iter().filter_map(|d| items(d).ok().map(<[Node]>::len)).max().unwrap_or(1);
+            let form = text_of(0)?;
+            bounded(rows.saturating_mul(form.len()))?;
+            let (mut out, mut made) = (Vec::new(), 0);
+            for i in 0..rows {
+                let mut args = Vec::new();
+                for d in &a[1..] {
+                    args.push(match d {
+                        Datum::List(l) => l.get(i).ok_or("the lists differ in length")?.datum.clone(),
+                        d => d.clone(),
+                    });
+                }
+                let line = format_text(&form, &args)?;
+                made += line.len();
+                bounded(made)?;
+                out.push(Datum::Text(line));
+            }
+            Ok(list(out, at))
+        }
+        "tostring" | "tonumber" | "tobool" => {
+            need(1, 1)?;
+            match (name, &a[0]) {
+                (_, Datum::Null) => Ok(Datum::Null),
+                ("tostring", d) => t(text(d)?),
+                ("tonumber", d) => n(number(d)?),
+                (_, Datum::Bool(b)) => Ok(Datum::Bool(*b)),
+                (_, Datum::Text(s)) if s == "true" => Ok(Datum::Bool(true)),
+                (_, Datum::Text(s)) if s == "false" => Ok(Datum::Bool(false)),
+                (_, d) => Err(format!("{} is no boolean", d.kind())),
+            }
+        }
+        "tolist" | "toset" | "tomap" => {
+            need(1, 1)?;
+            match (name, &a[0]) {
+                ("tomap", Datum::Map(_)) | ("tolist", Datum::List(_)) => Ok(a[0].clone()),
+                ("toset", Datum::List(l)) => Ok(distinct(l, at)),
+                (_, d) => Err(format!("{} can't be made that", d.kind())),
+            }
+        }
+        "abs" | "ceil" | "floor" | "signum" => {
+            need(1, 1)?;
+            let v = number(&a[0])?;
+            n(match name {
+                "abs" => v.abs(),
+                "ceil" => v.ceil(),
+                "floor" => v.floor(),
+                _ if v == 0.0 => 0.0,
+                _ => v.signum(),
+            })
+        }
+        "pow" | "log" => {
+            need(2, 2)?;
+            let (x, y) = (number(&a[0])?, number(&a[1])?);
+            n(if name == "pow" { x.powf(y) } else { x.log(y) })
+        }
+        "parseint" => {
+            need(2, 2)?;
+            let base = whole(&a[1])?;
+            if !(2..=36).contains(&base) {
+                return Err("the base must be 2 to 36".into());
+            }
+            let s = text_of(0)?;
+            let v = i64::from_str_radix(&s, base as u32).map_err(|_| format!("\"{s}\" is not a number"))?;
+            n(v as f64)
+        }
+        "min" | "max" => {
+            need(1, usize::MAX)?;
+            let mut best = number(&a[0])?;
+            for d in &a[1..] {
+                let v = number(d)?;
+                best = if name == "min" { best.min(v) } else { best.max(v) };
+            }
+            n(best)
+        }
+        "sum" => {
+            need(1, 1)?;
+            let mut s = 0.0;
+            for x in items(&a[0])? {
+                s += number(&x.datum)?;
+            }
+            n(s)
+        }
+        "length" => {
+            need(1, 1)?;
+            n(match &a[0] {
+                Datum::List(l) => l.len(),
+                Datum::Map(m) => m.len(),
+                d => text(d)?.chars().count(),
+            } as f64)
+        }
+        "concat" | "setunion" => {
+            need(1, usize::MAX)?;
+            let mut out = Vec::new();
+            for d in a {
+                out.extend(items(d)?.iter().cloned());
+            }
+            if name == "setunion" { Ok(distinct(&out, at)) } else { Ok(Datum::List(out)) }
+        }
+        "setintersection" | "setsubtract" => {
+            need(2, 2)?;
+            let other = items(&a[1])?;
+            let within = name == "setintersection";
+            let kept: Vec<Node> = items(&a[0])?
+                .iter()
+                .filter(|x| other.iter().any(|y| same(&x.datum, &y.datum)) == within)
+                .cloned()
+                .collect();
+            Ok(distinct(&kept, at))
+        }
+        "contains" => {
+            need(2, 2)?;
+            Ok(Datum::Bool(items(&a[0])?.iter().any(|x| same(&x.datum, &a[1]))))
+        }
+        "index" => {
+            need(2, 2)?;
+            match items(&a[0])?.iter().position(|x| same(&x.datum, &a[1])) {
+                Some(i) => n(i as f64),
+                None => Err("the list does not hold that".into()),
+            }
+        }
+        "distinct" => {
+            need(1, 1)?;
+            Ok(distinct(items(&a[0])?, at))
+        }
+        "compact" => {
+            need(1, 1)?;
+            Ok(Datum::List(items(&a[0])?.iter().filter(|x| !x.datum.is_empty()).cloned().collect()))
+        }
+        "reverse" => {
+            need(1, 1)?;
+            Ok(Datum::List(items(&a[0])?.iter().rev().cloned().collect()))
+        }
+        "sort" => {
+            need(1, 1)?;
+            let mut v = Vec::new();
+            for x in items(&a[0])? {
+                v.push(text(&x.datum)?);
+            }
+            v.sort();
+            Ok(list(v.into_iter().map(Datum::Text), at))
+        }
+        "flatten" => {
+            need(1, 1)?;
+            fn flat(l: &[Node], out: &mut Vec<Node>) {
+                for x in l {
+                    match &x.datum {
+                        Datum::List(m) => flat(m, out),
+                        _ => out.push(x.clone()),
+                    }
+                }
+            }
+            let mut out = Vec::new();
+            flat(items(&a[0])?, &mut out);
+            Ok(Datum::List(out))
+        }
+        "element" => {
+            need(2, 2)?;
+            let l = items(&a[0])?;
+            if l.is_empty() {
+                return Err("the list is empty".into());
+            }
+            Ok(l[whole(&a[1])?.rem_euclid(l.len() as i64) as usize].datum.clone())
+        }
+        "slice" => {
+            need(3, 3)?;
+            let l = items(&a[0])?;
+            let (from, to) = (whole(&a[1])?, whole(&a[2])?);
+            if from < 0 || to < from || to > l.len() as i64 {
+                return Err(format!("the list has {} elements, not {from} to {to}", l.len()));
+            }
+            Ok(Datum::List(l[from as usize..to as usize].to_vec()))
+        }
+        "chunklist" => {
+            need(2, 2)?;
+            let size = whole(&a[1])?.max(1) as usize;
+            Ok(list(items(&a[0])?.chunks(size).map(|c| Datum::List(c.to_vec())), at))
+        }
+        "range" => {
+            need(1, 3)?;
+            let v: Vec<f64> = a.iter().map(number).collect::<Result<_, _>>()?;
+            let (from, to) = if v.len() == 1 { (0.0, v[0]) } else { (v[0], v[1]) };
+            let step = v.get(2).copied().unwrap_or(if to >= from { 1.0 } else { -1.0 });
+            if step == 0.0 {
+                return Err("the step is 0".into());
+            }
+            let count = ((to - from) / step).ceil().max(0.0);
+            if count > MAX_RANGE as f64 {
+                return Err(format!("a range has at most {MAX_RANGE} elements"));
+            }
+            Ok(list((0..count as usize).map(|i| Datum::Number(from + i as f64 * step)), at))
+        }
+        "keys" | "values" => {
+            need(1, 1)?;
+            let mut m: Vec<&(String, Node)> = map(&a[0])?.iter().collect();
+            m.sort_by(|x, y| x.0.cmp(&y.0));
+            Ok(list(
+                m.into_iter()
+                    .map(|(k, v)| if name == "keys" { Datum::Text(k.clone()) } else { v.datum.clone() }),
+                at,
+            ))
+        }
+        "lookup" => {
+            need(2, 3)?;
+            let key = text_of(1)?;
+            match (map(&a[0])?.iter().find(|(k, _)| *k == key), a.get(2)) {
+                (Some((_, v)), _) => Ok(v.datum.clone()),
+                (None, Some(d)) => Ok(d.clone()),
+                (None, None) => Err(format!("the map has no {key}")),
+            }
+        }
+        "merge" => {
+            need(1, usize::MAX)?;
+            let mut out = Vec::new();
+            for d in a {
+                for (k, v) in map(d)? {
+                    insert(&mut out, k.clone(), v.clone());
+                }
+            }
+            Ok(Datum::Map(out))
+        }
+        "zipmap" => {
+            need(2, 2)?;
+            let (k, v) = (items(&a[0])?, items(&a[1])?);
+            if k.len() != v.len() {
+                return Err("the lists differ in length".into());
+            }
+            let mut out = Vec::new();
+            for (k, v) in k.iter().zip(v) {
+                insert(&mut out, text(&k.datum)?, v.clone());
+            }
+            Ok(Datum::Map(out))
+        }
+        "coalesce" | "coalescelist" => {
+            need(1, usize::MAX)?;
+            a.iter().find(|d| !d.is_empty()).cloned().ok_or("all arguments are empty".into())
+        }
+        "jsonencode" => {
+            need(1, 1)?;
+            t(a[0].json().to_string())
+        }
+        "cidrhost" | "cidrnetmask" | "cidrsubnet" => cidr(name, a),
+        "file" | "fileset" | "filebase64" | "templatefile" | "filemd5" | "filesha256" | "abspath" => {
+            Err(format!("{name} reads the machine that the file is checked on: put the text into the file"))
+        }
+        "timestamp" | "uuidv4" | "uuidv5" | "bcrypt" | "plantimestamp" => Err(format!(
+            "{name} gives something else each time: a file must mean the same wherever it is read"
+        )),
+        _ => Err(format!("the function {name} is not known")),
+    }
+}
+
+fn capital(word: &str) -> String {
+    let mut c = word.chars();
+    c.next().map_or(String::new(), |f| f.to_uppercase().chain(c).collect())
+}
+
+/// Refuses what would take too much memory, before it is made.
+fn bounded(bytes: usize) -> Result<(), String> {
+    if bytes <= 4 << 20 { Ok(()) } else { Err("the result is longer than 4 MiB".into()) }
+}
+
+fn regex_replace(s: &str, pattern: &str, with: &str) -> Result<String, String> {
+    let r = regex(pattern)?;
+    // Every `$` of the replacement stands for at most the whole text, once.
+    let groups = with.matches('$').count().saturating_mul(s.len());
+    bounded(s.len() + r.find_iter(s).count().saturating_mul(with.len()) + groups)?;
+    Ok(r.replace_all(s, with).into_owned())
+}
+
+fn regex(p: &str) -> Result<regex_lite::Regex, String> {
+    regex_lite::RegexBuilder::new(p)
+        .size_limit(1 << 20)
+        .build()
+        .map_err(|e| format!("not a regular expression: {e}"))
+}
+
+fn distinct(l: &[Node], at: usize) -> Datum {
+    let mut out: Vec<Node> = Vec::new();
+    let mut seen = std::collections::HashSet::new();
+    for x in l {
+        // The JSON text of a value is the same for the same values but for the
+        // order of keys, which only makes two of one.
+        if seen.insert(x.datum.json().to_string()) {
+            out.push(Node { at, datum: x.datum.clone() });
+        }
+    }
+    Datum::List(out)
+}
+
+/// `%s`, `%d`, `%f`, `%q`, `%v`, `%t`, `%x` and `%%`, with width, zeros and
+/// digits behind the point.
+fn format_text(f: &str, args: &[Datum]) -> Result<String, String> {
+    let (mut out, mut next, mut rest) = (String::new(), 0, f);
+    while let Some(i) = rest.find('%') {
+        out.push_str(&rest[..i]);
+        rest = &rest[i + 1..];
+        let end = rest.find(|c: char| c.is_alphabetic() || c == '%').ok_or("% stands at the end")?;
+        let (flags, verb) = (&rest[..end], rest[end..].chars().next().unwrap_or('%'));
+        rest = &rest[end + verb.len_utf8()..];
+        if verb == '%' {
+            out.push('%');
+            continue;
+        }
+        let arg = args.get(next).ok_or(format!("there is no argument for %{flags}{verb}"))?;
+        next += 1;
+        let (width, digits) = flags.split_once('.').map_or((flags, None), |(w, d)| (w, Some(d)));
+        let digits: Option<usize> = match digits {
+            Some(d) => Some(d.parse::<usize>().map_err(|_| format!("%{flags}{verb} is not known"))?.min(30)),
+            None => None,
+        };
+        let left = width.starts_with('-');
+        let zeros = width.starts_with('0');
+        let width = width.trim_start_matches('-');
+        let width: usize = if width.is_empty() {
+            0
+        } else {
+            width.parse::<usize>().map_err(|_| format!("%{flags}{verb} is not known"))?.min(1000)
+        };
+        let s = match verb {
+            's' | 'v' => arg.text().unwrap_or_else(|| arg.json().to_string()),
+            'q' => serde_json::Value::from(text(arg)?).to_string(),
+            't' => match arg {
+                Datum::Bool(b) => b.to_string(),
+                d => return Err(format!("%t wants a boolean, not {}", d.kind())),
+            },
+            'd' => whole(arg)?.to_string(),
+            'x' => format!("{:x}", whole(arg)?),
+            'f' => format!("{:.*}", digits.unwrap_or(6), number(arg)?),
+            _ => return Err(format!("%{flags}{verb} is not known")),
+        };
+        let pad = width.saturating_sub(s.chars().count());
+        match (left, zeros) {
+            (true, _) => out.extend([s, " ".repeat(pad)]),
+            (_, true) => match s.strip_prefix('-') {
+                Some(digits) => out.extend(["-".to_owned(), "0".repeat(pad), digits.to_owned()]),
+                None => out.extend(["0".repeat(pad), s]),
+            },
+            _ => out.extend([" ".repeat(pad), s]),
+        }
+    }
+    out.push_str(rest);
+    if next < args.len() {
+        return Err(format!("format has {} arguments for {next} places", args.len()));
+    }
+    Ok(out)
+}
+
+fn cidr(name: &str, a: &[Datum]) -> Out {
+    let want = match name {
+        "cidrnetmask" => 1,
+        "cidrhost" => 2,
+        _ => 3,
+    };
+    if a.len() != want {
+        return Err(format!("{name} takes {want} arguments, not {}", a.len()));
+    }
+    let s = text(&a[0])?;
+    let net: ipnet::IpNet = s.parse().map_err(|_| format!("\"{s}\" is not a network such as 10.0.0.0/8"))?;
+    let net = net.trunc();
+    // Addresses as numbers, whatever their length.
+    let (base, bits): (u128, u32) = match net.network() {
+        std::net::IpAddr::V4(v) => (u32::from(v) as u128, 32),
+        std::net::IpAddr::V6(v) => (u128::from(v), 128),
+    };
+    let show = |v: u128| -> std::net::IpAddr {
+        if bits == 32 {
+            std::net::Ipv4Addr::from(v as u32).into()
+        } else {
+            std::net::Ipv6Addr::from(v).into()
+        }
+    };
+    let free = bits - net.prefix_len() as u32;
+    match name {
+        "cidrnetmask" => Ok(Datum::Text(net.netmask().to_string())),
+        "cidrhost" => {
+            let i = whole(&a[1])?;
+            let size = if free >= 127 { u128::MAX } else { 1u128 << free };
+            let at = if i < 0 { size.checked_sub(i.unsigned_abs() as u128) } else { Some(i as u128) };
+            match at.filter(|x| *x < size) {
+                Some(x) => Ok(Datum::Text(show(base + x).to_string())),
+                None => Err(format!("{net} has no host {}", number_text(i as f64))),
+            }
+        }
+        _ => {
+            let (more, i) = (whole(&a[1])?, whole(&a[2])?);
+            if !(0..=free as i64).contains(&more) || i < 0 || more < 63 && i >= 1i64 << more {
+                return Err(format!("{net} has no such subnet"));
+            }
+            let shift = free - more as u32;
+            let sub = base + if shift >= 128 { 0 } else { (i as u128) << shift };
+            Ok(Datum::Text(format!("{}/{}", show(sub), net.prefix_len() as i64 + more)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/nomad/src/hcl.rs
@@ -0,0 +1,489 @@
+//! Files in HCL2: variables, locals, dynamic blocks and expressions are worked
+//! out, what is left is a tree.
+use crate::eval::{EvalError, Scope};
+use crate::tree::{Attr, Block, Datum, Faults, MAX_FILE, Node, Tree};
+use hcl_edit::Span;
+use hcl_edit::expr::{Expression, ObjectKey};
+use hcl_edit::structure::{Attribute, Body, Structure};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Values for a file's `variable` blocks.
+#[derive(Debug, Clone, Default)]
+pub struct Inputs {
+    /// `--var name=value`; the value is read as the variable's type asks.
+    pub vars: BTreeMap<String, String>,
+    /// Files of values, name and text; later ones count.
+    pub files: Vec<(String, String)>,
+}
+
+fn at(e: &impl Span, or: usize) -> usize {
+    e.span().map_or(or, |s| s.start)
+}
+
+/// Reads a file. The tree holds its `job` block; `None` if it can't be read.
+pub fn read(source: &str, inputs: &Inputs, faults: &mut Faults) -> Option<Block> {
+    if source.len() > MAX_FILE {
+        faults.unreadable(0, "", format!("the file is longer than {} KiB", MAX_FILE / 1024));
+        return None;
+    }
+    let body = match hcl_edit::parser::parse_body(source) {
+        Ok(b) => b,
+        Err(e) => {
+            faults.unreadable(e.location().offset(), "", e.message().trim().replace('\n', "; "));
+            return None;
+        }
+    };
+    let mut r = Reader { scope: Scope::new(source), faults, stopped: false };
+    r.variables(&body, inputs);
+    r.locals(&body);
+    let mut jobs = Vec::new();
+    for s in body.iter() {
+        match s {
+            Structure::Attribute(a) => {
+                let (p, name) = (at(&a.key, 0), a.key.as_str());
+                r.faults.unreadable(p, name, "only job, variable and locals stand at the top of a file");
+            }
+            Structure::Block(b) => match b.ident.as_str() {
+                "variable" | "locals" => {}
+                "job" => jobs.push(b),
+                "variables" => {
+                    // The form of several at once.
+                    let p = at(&b.ident, 0);
+                    r.faults.unreadable(p, "variables", "write a variable block for each variable");
+                }
+                name => r.faults.unreadable(
+                    at(&b.ident, 0),
+                    name,
+                    "only job, variable and locals stand at the top of a file",
+                ),
+            },
+        }
+    }
+    let Some(job) = jobs.first() else {
+        r.faults.unreadable(0, "", "the file has no job");
+        return None;
+    };
+    if let Some(second) = jobs.get(1) {
+        r.faults.unreadable(at(&second.ident, 0), "job", "a file has one job");
+    }
+    let labels = r.labels(job);
+    let path = match labels.first() {
+        Some((l, _)) => format!("job.{l}"),
+        None => "job".into(),
+    };
+    let block =
+        Block { name: "job".into(), at: at(&job.ident, 0), labels, body: r.body(&job.body, 0, &path) };
+    (!r.stopped).then_some(block)
+}
+
+struct Reader<'a, 'f> {
+    scope: Scope<'a>,
+    faults: &'f mut Faults,
+    /// A bound was hit; the rest is not worked out.
+    stopped: bool,
+}
+
+impl Reader<'_, '_> {
+    fn fault(&mut self, e: EvalError, path: &str) {
+        self.stopped |= e.fatal;
+        self.faults.unreadable(e.at, path, e.text);
+    }
+
+    fn value(&mut self, e: &Expression, or: usize, path: &str) -> Option<Node> {
+        if self.stopped {
+            return None;
+        }
+        // Entries of a map or a list are worked out one by one, so that the
+        // faults of all of them are told.
+        let or = at(e, or);
+        match e {
+            Expression::Object(o) => {
+                let (mut map, mut good) = (Vec::new(), true);
+                for (k, v) in o.iter() {
+                    let key = self.key(k, or, path);
+                    let inner = format!("{path}.{}", key.as_deref().unwrap_or("?"));
+                    let value = self.value(v.expr(), or, &inner);
+                    match (key, value) {
+                        (Some(k), Some(v)) => crate::eval::insert(&mut map, k, v),
+                        _ => good = false,
+                    }
+                }
+                return good.then_some(Node { at: or, datum: Datum::Map(map) });
+            }
+            Expression::Array(a) => {
+                let all: Vec<Option<Node>> = a.iter().map(|x| self.value(x, or, path)).collect();
+                let list: Option<Vec<Node>> = all.into_iter().collect();
+                return list.map(|l| Node { at: or, datum: Datum::List(l) });
+            }
+            _ => {}
+        }
+        match self.scope.eval(e, or) {
+            Ok(datum) => Some(Node { at: at(e, or), datum }),
+            Err(e) => {
+                self.fault(e, path);
+                None
+            }
+        }
+    }
+
+    fn key(&mut self, k: &ObjectKey, or: usize, path: &str) -> Option<String> {
+        match k {
+            ObjectKey::Ident(i) => Some(i.to_string()),
+            ObjectKey::Expression(Expression::Variable(v)) => Some(v.to_string()),
+            ObjectKey::Expression(x) => {
+                let n = self.value(x, or, path)?;
+                let text = n.datum.text();
+                if text.is_none() {
+                    self.faults.unreadable(n.at, path, "a map's key must be text");
+                }
+                text
+            }
+        }
+    }
+
+    fn variables(&mut self, body: &Body, inputs: &Inputs) {
+        let mut given: BTreeMap<String, Given> = BTreeMap::new();
+        for (file, text) in &inputs.files {
+            // A value file is HCL of attributes; its places are its own, so
+            // faults name the file.
+            match hcl_edit::parser::parse_body(text) {
+                Ok(b) => {
+                    for a in b.attributes() {
+                        let mut scope = Scope::new(text);
+                        match scope.eval(&a.value, 0) {
+                            Ok(d) => drop(given.insert(a.key.to_string(), Given::Value(d))),
+                            Err(e) => self.faults.unreadable(0, "", format!("{file}: {}", e.text)),
+                        }
+                    }
+                    if b.blocks().next().is_some() {
+                        self.faults.unreadable(0, "", format!("{file}: only name = value stands in it"));
+                    }
+                }
+                Err(e) => {
+                    let l = e.location();
+                    let text = format!("{file}:{}:{}: {}", l.line(), l.column(), e.message().trim());
+                    self.faults.unreadable(0, "", text.replace('\n', "; "));
+                }
+            }
+        }
+        for (k, v) in &inputs.vars {
+            given.insert(k.clone(), Given::Text(v.clone()));
+        }
+        let mut vars: Vec<(String, Node)> = Vec::new();
+        for b in body.get_blocks("variable") {
+            let p = at(&b.ident, 0);
+            let [(name, place)] = &self.labels(b)[..] else {
+                self.faults.unreadable(p, "variable", "a variable has one name");
+                continue;
+            };
+            let path = format!("variable.{name}");
+            if vars.iter().any(|(k, _)| k == name) {
+                self.faults.unreadable(*place, &path, "declared twice");
+                continue;
+            }
+            let mut kind = Kind::Any;
+            let mut default = None;
+            for s in b.body.iter() {
+                match s {
+                    Structure::Attribute(a) => match a.key.as_str() {
+                        "type" => match Kind::read(&a.value) {
+                            Some(k) => kind = k,
+                            None => self.faults.unreadable(
+                                at(&a.value, p),
+                                &path,
+                                "the type must be string, number, bool, any, or list, set, map, tuple or object of types",
+                            ),
+                        },
+                        "default" => default = self.value(&a.value, p, &path),
+                        "description" | "sensitive" | "nullable" => {}
+                        other => {
+                            let text = format!("a variable has no {other}");
+                            self.faults.unreadable(at(&a.key, p), &path, text);
+                        }
+                    },
+                    Structure::Block(v) if v.ident.as_str() == "validation" => {
+                        let text = "validations are not run: check the value in the file that gives it";
+                        self.faults.warning(at(&v.ident, p), &path, text);
+                    }
+                    Structure::Block(v) => {
+                        let text = format!("a variable has no {}", v.ident.as_str());
+                        self.faults.unreadable(at(&v.ident, p), &path, text);
+                    }
+                }
+            }
+            let node = match (given.remove(name), default) {
+                (Some(Given::Value(datum)), _) => Some(Node { at: p, datum }),
+                (Some(Given::Text(t)), _) => Some(Node { at: p, datum: kind.given(&t) }),
+                (None, d) => d,
+            };
+            match node {
+                None if self.stopped => {}
+                None => {
+                    let text = "it has no value: give one with --var or --var-file, or set a default";
+                    self.faults.unreadable(*place, &path, text);
+                }
+                Some(n) => match kind.convert(n.datum) {
+                    Ok(datum) => vars.push((name.clone(), Node { at: n.at, datum })),
+                    Err(text) => self.faults.unreadable(n.at, &path, text),
+                },
+            }
+        }
+        // A value for a variable that the file does not have is a slip.
+        let unknown: Vec<&String> = given.keys().collect();
+        for name in unknown {
+            self.faults.unreadable(0, &format!("variable.{name}"), "the file has no such variable");
+        }
+        self.scope.set("var", Datum::Map(vars));
+    }
+
+    /// Locals may use each other in any order.
+    fn locals(&mut self, body: &Body) {
+        let mut open: Vec<&Attribute> = Vec::new();
+        let mut names = BTreeSet::new();
+        for b in body.get_blocks("locals") {
+            for a in b.body.attributes() {
+                if !names.insert(a.key.to_string()) {
+                    let path = format!("local.{}", a.key.as_str());
+                    self.faults.unreadable(at(&a.key, 0), &path, "set twice");
+                }
+                open.push(a);
+            }
+        }
+        self.scope.set("local", Datum::Map(Vec::new()));
+        loop {
+            let before = open.len();
+            let mut failed = Vec::new();
+            for a in std::mem::take(&mut open) {
+                match self.scope.eval(&a.value, 0) {
+                    Ok(datum) => {
+                        let node = Node { at: at(&a.value, 0), datum };
+                        if let Some(Datum::Map(m)) = self.scope.get("local") {
+                            let mut m = m.clone();
+                            m.push((a.key.to_string(), node));
+                            self.scope.set("local", Datum::Map(m));
+                        }
+                    }
+                    Err(e) if e.fatal => return self.fault(e, &format!("local.{}", a.key.as_str())),
+                    Err(e) => failed.push((a, e)),
+                }
+            }
+            if failed.len() == before {
+                for (a, e) in failed {
+                    self.fault(e, &format!("local.{}", a.key.as_str()));
+                }
+                return;
+            }
+            open = failed.into_iter().map(|(a, _)| a).collect();
+        }
+    }
+
+    fn labels(&mut self, b: &hcl_edit::structure::Block) -> Vec<(String, usize)> {
+        b.labels.iter().map(|l| (l.as_str().to_owned(), l.span().map_or(0, |s| s.start))).collect()
+    }
+
+    fn body(&mut self, body: &Body, start: usize, path: &str) -> Tree {
+        let mut tree = Tree { at: start, ..Tree::default() };
+        for s in body.iter() {
+            if self.stopped {
+                break;
+            }
+            match s {
+                Structure::Attribute(a) => {
+                    let (name, p) = (a.key.to_string(), at(&a.key, start));
+                    let path = format!("{path}.{name}");
+                    if tree.attr(&name).is_some() {
+                        self.faults.unreadable(p, &path, "set twice");
+                        continue;
+                    }
+                    if let Some(value) = self.value(&a.value, p, &path) {
+                        tree.attrs.push(Attr { name, at: p, value });
+                    }
+                }
+                Structure::Block(b) if b.ident.as_str() == "dynamic" => self.dynamic(b, path, &mut tree),
+                Structure::Block(b) => {
+                    let (name, p) = (b.ident.to_string(), at(&b.ident, start));
+                    let labels = self.labels(b);
+                    let mut path = format!("{path}.{name}");
+                    labels.iter().for_each(|(l, _)| path.extend([".", l]));
+                    if let Err(e) = self.scope.spend(p, 64) {
+                        return {
+                            self.fault(e, &path);
+                            tree
+                        };
+                    }
+                    let body = self.body(&b.body, p, &path);
+                    tree.blocks.push(Block { name, at: p, labels, body });
+                }
+            }
+        }
+        tree
+    }
+
+    /// `dynamic "name" { for_each = …  content { … } }`
+    fn dynamic(&mut self, b: &hcl_edit::structure::Block, path: &str, tree: &mut Tree) {
+        let p = at(&b.ident, 0);
+        let [(name, _)] = &self.labels(b)[..] else {
+            return self.faults.unreadable(p, path, "dynamic has the name of the block that it makes");
+        };
+        let path = format!("{path}.{name}");
+        let (Some(each), Some(content)) =
+            (b.body.get_attribute("for_each"), b.body.get_blocks("content").next())
+        else {
+            return self.faults.unreadable(p, &path, "dynamic needs for_each and content");
+        };
+        let iterator = match b.body.get_attribute("iterator").map(|a| &a.value) {
+            None => name.clone(),
+            Some(Expression::Variable(v)) => v.to_string(),
+            Some(e) => {
+                return self.faults.unreadable(at(e, p), &path, "iterator must be a name");
+            }
+        };
+        let items = match self.scope.items(&each.value, p) {
+            Ok(i) => i,
+            Err(e) => return self.fault(e, &path),
+        };
+        for (key, value) in items {
+            if self.stopped {
+                return;
+            }
+            let node = |datum| Node { at: p, datum };
+            let item = Datum::Map(vec![("key".into(), node(key)), ("value".into(), node(value))]);
+            let before = self.scope.set(&iterator, item);
+            let mut labels = Vec::new();
+            if let Some(l) = b.body.get_attribute("labels")
+                && let Some(n) = self.value(&l.value, p, &path)
+            {
+                match n.datum {
+                    Datum::List(l) => labels.extend(l.iter().filter_map(|x| Some((x.datum.text()?, x.at)))),
+                    _ => self.faults.unreadable(n.at, &path, "labels must be a list"),
+                }
+            }
+            if let Err(e) = self.scope.spend(p, 64) {
+                self.fault(e, &path);
+            }
+            let body = self.body(&content.body, p, &path);
+            self.scope.restore(&iterator, before);
+            tree.blocks.push(Block { name: name.clone(), at: p, labels, body });
+        }
+    }
+}
+
+enum Given {
+    Value(Datum),
+    Text(String),
+}
+
+/// A variable's type.
+#[derive(Debug, Clone, PartialEq)]
+enum Kind {
+    Any,
+    Text,
+    Number,
+    Bool,
+    List(Box<Kind>),
+    Map(Box<Kind>),
+    Object(Vec<(String, Kind, bool)>),
+}
+
+impl Kind {
+    fn read(e: &Expression) -> Option<Kind> {
+        match e {
+            Expression::Variable(v) => match v.as_str() {
+                "string" => Some(Kind::Text),
+                "number" => Some(Kind::Number),
+                "bool" => Some(Kind::Bool),
+                "any" => Some(Kind::Any),
+                "list" | "set" | "tuple" => Some(Kind::List(Box::new(Kind::Any))),
+                "map" | "object" => Some(Kind::Map(Box::new(Kind::Any))),
+                _ => None,
+            },
+            Expression::String(s) => match s.as_str() {
+                "string" => Some(Kind::Text),
+                "list" => Some(Kind::List(Box::new(Kind::Any))),
+                "map" => Some(Kind::Map(Box::new(Kind::Any))),
+                _ => None,
+            },
+            Expression::FuncCall(f) => {
+                let arg = f.args.iter().next()?;
+                match f.name.name.as_str() {
+                    "list" | "set" => Some(Kind::List(Box::new(Kind::read(arg)?))),
+                    "map" => Some(Kind::Map(Box::new(Kind::read(arg)?))),
+                    "tuple" => Some(Kind::List(Box::new(Kind::Any))),
+                    "optional" => Kind::read(arg),
+                    "object" => {
+                        let Expression::Object(o) = arg else { return None };
+                        let mut fields = Vec::new();
+                        for (k, v) in o.iter() {
+                            let optional = matches!(v.expr(), Expression::FuncCall(f) if f.name.name.as_str() == "optional");
+                            let name = match k {
+                                ObjectKey::Ident(i) => i.to_string(),
+                                ObjectKey::Expression(Expression::Variable(v)) => v.to_string(),
+                                ObjectKey::Expression(Expression::String(s)) => s.to_string(),
+                                _ => return None,
+                            };
+                            fields.push((name, Kind::read(v.expr())?, optional));
+                        }
+                        Some(Kind::Object(fields))
+                    }
+                    _ => None,
+                }
+            }
+            _ => None,
+        }
+    }
+
+    /// A value from the command line: text as it is, the others as HCL.
+    fn given(&self, t: &str) -> Datum {
+        if *self == Kind::Text {
+            return Datum::Text(t.to_owned());
+        }
+        let parsed = hcl_edit::parser::parse_expr(t).ok();
+        parsed
+            .and_then(|e| Scope::new(t).eval(&e, 0).ok())
+            .filter(|d| !matches!(d, Datum::Runtime(_)))
+            .unwrap_or_else(|| Datum::Text(t.to_owned()))
+    }
+
+    fn convert(&self, d: Datum) -> Result<Datum, String> {
+        let each = |k: &Kind, n: Node| Ok::<Node, String>(Node { at: n.at, datum: k.convert(n.datum)? });
+        match (self, d) {
+            (Kind::Any, d) | (_, d @ Datum::Null) => Ok(d),
+            (Kind::Text, d) => d.text().map(Datum::Text).ok_or(format!("{} is not a string", d.kind())),
+            (Kind::Number, d @ Datum::Number(_)) | (Kind::Bool, d @ Datum::Bool(_)) => Ok(d),
+            (Kind::Number, Datum::Text(s)) => match s.trim().parse::<f64>() {
+                Ok(n) if n.is_finite() => Ok(Datum::Number(n)),
+                _ => Err(format!("\"{s}\" is not a number")),
+            },
+            (Kind::Bool, Datum::Text(s)) if s == "true" || s == "false" => Ok(Datum::Bool(s == "true")),
+            (Kind::List(k), Datum::List(l)) => {
+                Ok(Datum::List(l.into_iter().map(|n| each(k, n)).collect::<Result<_, _>>()?))
+            }
+            (Kind::Map(k), Datum::Map(m)) => {
+                let fields = m.into_iter().map(|(name, n)| Ok((name, each(k, n)?)));
+                Ok(Datum::Map(fields.collect::<Result<_, String>>()?))
+            }
+            (Kind::Object(fields), Datum::Map(m)) => {
+                let mut out = Vec::new();
+                for (name, k, optional) in fields {
+                    match m.iter().find(|(x, _)| x == name) {
+                        Some((_, n)) => out.push((name.clone(), each(k, n.clone())?)),
+                        None if *optional => {
+                            out.push((name.clone(), Node { at: 0, datum: Datum::Null }));
+                        }
+                        None => return Err(format!("the object lacks {name}")),
+                    }
+                }
+                Ok(Datum::Map(out))
+            }
+            (k, d) => {
+                let want = match k {
+                    Kind::Number => "a number",
+                    Kind::Bool => "a bool",
+                    Kind::List(_) => "a list",
+                    _ => "a map",
+                };
+                Err(format!("the type asks for {want}, not {}", d.kind()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nomad/src/json.rs
@@ -0,0 +1,193 @@
+//! Files and requests in JSON: as the interface has them (`{"Job": {"ID": …}}`),
+//! or as a file would be written (`{"job": {"name": {…}}}`).
+use crate::table::{self, Row, Shape, Verdict};
+use crate::tree::{Attr, Block, Datum, Faults, MAX_DEPTH, MAX_FILE, Node, Tree};
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+const STRICT: ParseOptions = ParseOptions {
+    allow_comments: false,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// Reads a file; `None` if it can't be read.
+pub fn read(source: &str, faults: &mut Faults) -> Option<Block> {
+    if source.len() > MAX_FILE {
+        faults.unreadable(0, "", format!("the file is longer than {} KiB", MAX_FILE / 1024));
+        return None;
+    }
+    let parsed = match parse_to_ast(source, &CollectOptions::default(), &STRICT) {
+        Ok(p) => p,
+        Err(e) => {
+            faults.unreadable(e.range().start, "", format!("not JSON: {}", e.kind()));
+            return None;
+        }
+    };
+    let Some(root @ Value::Object(_)) = parsed.value else {
+        faults.unreadable(0, "", "not a JSON object");
+        return None;
+    };
+    if depth(&root) > MAX_DEPTH {
+        faults.unreadable(0, "", format!("nested deeper than {MAX_DEPTH} levels"));
+        return None;
+    }
+    let Value::Object(o) = &root else { return None };
+    let find = |name: &str| o.properties.iter().find(|p| p.name.as_str() == name);
+    if let Some(p) = find("Job").or_else(|| find("job").filter(|p| is_api(&p.value))) {
+        return api_job(&p.value, faults);
+    }
+    if let Some(p) = find("job") {
+        // {"job": {"name": {…}}}
+        let Value::Object(names) = &p.value else {
+            faults.unreadable(p.range.start, "job", "must be an object");
+            return None;
+        };
+        let [one] = &names.properties[..] else {
+            faults.unreadable(p.range.start, "job", "must hold one job by its name");
+            return None;
+        };
+        let (name, at) = (one.name.as_str().to_owned(), one.range.start);
+        let path = format!("job.{name}");
+        let body = lower(&one.value, "", &path, Form::File, faults)?;
+        return Some(Block { name: "job".into(), at, labels: vec![(name, at)], body });
+    }
+    if is_api(&root) {
+        return api_job(&root, faults);
+    }
+    faults.unreadable(0, "", "the file has no job");
+    None
+}
+
+fn depth(v: &Value<'_>) -> usize {
+    match v {
+        Value::Object(o) => 1 + o.properties.iter().map(|p| depth(&p.value)).max().unwrap_or(0),
+        Value::Array(a) => 1 + a.elements.iter().map(depth).max().unwrap_or(0),
+        _ => 0,
+    }
+}
+
+fn is_api(v: &Value<'_>) -> bool {
+    let Value::Object(o) = v else { return false };
+    o.properties.iter().any(|p| matches!(p.name.as_str(), "ID" | "Name" | "TaskGroups"))
+}
+
+fn api_job(v: &Value<'_>, faults: &mut Faults) -> Option<Block> {
+    let at = v.range().start;
+    let body = lower(v, "", "job", Form::Api, faults)?;
+    let label =
+        body.attr("id").or_else(|| body.attr("name")).and_then(|a| Some((a.value.datum.text()?, a.at)));
+    Some(Block { name: "job".into(), at, labels: label.into_iter().collect(), body })
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Form {
+    /// Names and types as the interface has them.
+    Api,
+    /// Names as in files.
+    File,
+}
+
+/// An object as the stanza at `stanza` of the table.
+fn lower(v: &Value<'_>, stanza: &str, path: &str, form: Form, faults: &mut Faults) -> Option<Tree> {
+    let at = v.range().start;
+    let Value::Object(o) = v else {
+        faults.unreadable(at, path, "must be an object");
+        return None;
+    };
+    let mut tree = Tree { at, ..Tree::default() };
+    for p in &o.properties {
+        let (name, at) = (p.name.as_str(), p.range.start);
+        let row = match form {
+            Form::Api => table::find_json(stanza, name),
+            Form::File => table::find(stanza, name),
+        };
+        let Some(row) = row else {
+            // Left for the reader of the tree, which knows what to say.
+            let value = Node { at: p.value.range().start, datum: datum(&p.value) };
+            tree.attrs.push(Attr { name: name.to_owned(), at, value });
+            continue;
+        };
+        let name = table::last(row.path);
+        if tree.attr(name).is_some() {
+            faults.unreadable(at, &format!("{path}.{name}"), "set twice");
+            continue;
+        }
+        let d = datum(&p.value);
+        // The interface's clients send every field, most of them empty.
+        if form == Form::Api && (d == Datum::Null || d.is_empty() && row.verdict_skips_empty()) {
+            continue;
+        }
+        let blocks = matches!(row.shape, Shape::Block | Shape::Blocks | Shape::Named);
+        if !blocks || matches!(row.verdict, Verdict::Refused(_) | Verdict::NoEffect(_) | Verdict::ReadOnly) {
+            let value = Node { at: p.value.range().start, datum: d };
+            tree.attrs.push(Attr { name: name.to_owned(), at, value });
+            continue;
+        }
+        let stanza = join(stanza, name);
+        let inner = format!("{path}.{name}");
+        let parts: Vec<(Option<String>, &Value<'_>)> = match (&p.value, row.shape, form) {
+            (Value::Array(a), ..) => a.elements.iter().map(|e| (None, e)).collect(),
+            (Value::Object(o), Shape::Named, Form::File) => {
+                let named = o.properties.iter().flat_map(|p| {
+                    match &p.value {
+                        Value::Array(a) => a.elements.iter().collect::<Vec<_>>(),
+                        v => vec![v],
+                    }
+                    .into_iter()
+                    .map(|v| (Some(p.name.as_str().to_owned()), v))
+                    .collect::<Vec<_>>()
+                });
+                named.collect()
+            }
+            (v, ..) => vec![(None, v)],
+        };
+        for (label, v) in parts {
+            let label_path = label.as_ref().map_or(inner.clone(), |l| format!("{inner}.{l}"));
+            let Some(body) = lower(v, &stanza, &label_path, form, faults) else { continue };
+            let label = match (row.shape, label) {
+                (Shape::Named, None) => body.attr("name").and_then(|a| a.value.datum.text()),
+                (_, l) => l,
+            };
+            let at = v.range().start;
+            let labels = label.into_iter().map(|l| (l, at)).collect();
+            tree.blocks.push(Block { name: name.to_owned(), at, labels, body });
+        }
+    }
+    Some(tree)
+}
+
+impl Row {
+    /// Whether an empty value means that the field is not set. For served
+    /// numbers and booleans it doesn't: `Count: 0` stops a group.
+    fn verdict_skips_empty(&self) -> bool {
+        !matches!(self.verdict, Verdict::Served(_))
+            || !matches!(self.shape, Shape::Whole | Shape::Number | Shape::Bool)
+    }
+}
+
+fn join(stanza: &str, name: &str) -> String {
+    if stanza.is_empty() { name.to_owned() } else { format!("{stanza}.{name}") }
+}
+
+fn datum(v: &Value<'_>) -> Datum {
+    let node = |v: &Value<'_>| Node { at: v.range().start, datum: datum(v) };
+    match v {
+        Value::NullKeyword(_) => Datum::Null,
+        Value::BooleanLit(b) => Datum::Bool(b.value),
+        Value::NumberLit(n) => Datum::Number(n.value.parse().unwrap_or(f64::MAX)),
+        Value::StringLit(s) => Datum::Text(s.value.to_string()),
+        Value::Array(a) => Datum::List(a.elements.iter().map(node).collect()),
+        Value::Object(o) => {
+            Datum::Map(o.properties.iter().map(|p| (p.name.as_str().to_owned(), node(&p.value))).collect())
+        }
+    }
+}
--- /dev/null
+++ b/crates/nomad/src/lib.rs
@@ -0,0 +1,70 @@
+//! Nomad's job files, translated to native jobs.
+//!
+//! A file goes through [`hcl`] or [`json`] to a [`tree`], through [`model`],
+//! which checks it against the [`table`] of the specification, and through
+//! [`translate`], which finds its class and makes native jobs of it. Nothing
+//! here does input or output.
+#![warn(missing_docs)]
+pub mod cron;
+pub mod eval;
+mod functions;
+pub mod hcl;
+pub mod json;
+pub mod model;
+pub mod table;
+pub mod translate;
+pub mod tree;
+
+use gorseshore_settings::Nomad;
+use translate::{Planned, Site};
+use tree::{Faults, Severity};
+
+pub use hcl::Inputs;
+
+/// What became of a file.
+#[derive(Debug)]
+pub struct Judgement {
+    /// The job, if there is enough to read of it.
+    pub job: Option<model::Job>,
+    /// The class that takes it.
+    pub class: Option<String>,
+    /// Its groups as native jobs; whole only if the file is accepted.
+    pub groups: Vec<Planned>,
+    /// Everything to say, by place.
+    pub faults: Faults,
+}
+
+impl Judgement {
+    /// Whether the file is accepted.
+    pub fn accepted(&self) -> bool {
+        self.job.is_some() && self.faults.accepted()
+    }
+    /// What a script goes by: 0 accepted, 1 refused, 2 unreadable.
+    pub fn exit_code(&self) -> u8 {
+        match self.faults.worst() {
+            Some(Severity::Unreadable) => 2,
+            Some(Severity::Refused) => 1,
+            _ if self.job.is_none() => 2,
+            _ => 0,
+        }
+    }
+}
+
+/// Judges a file by its content: JSON if it begins with a brace.
+pub fn judge(source: &str, inputs: &Inputs, settings: &Nomad, site: &Site) -> Judgement {
+    let mut faults = Faults::default();
+    let block = if source.trim_start().starts_with('{') {
+        json::read(source, &mut faults)
+    } else {
+        hcl::read(source, inputs, &mut faults)
+    };
+    let job = block.and_then(|b| model::read(&b, &mut faults));
+    let mut class = None;
+    let mut groups = Vec::new();
+    if let Some(j) = &job {
+        class = translate::class(j, settings).map(|c| c.name.clone());
+        groups = translate::translate(j, settings, site, &mut faults);
+    }
+    faults.place(source);
+    Judgement { job, class, groups, faults }
+}
--- /dev/null
+++ b/crates/nomad/src/model.rs
@@ -0,0 +1,751 @@
+//! A job as its file means it: checked against the table, with the defaults of
+//! the specification.
+use crate::table::{self, Row, Shape, Verdict};
+use crate::tree::{Attr, Block, Datum, Faults, Node, Tree};
+use gorseshore_protocol::ids::Micros;
+use gorseshore_protocol::job::Kind;
+use std::collections::BTreeMap;
+
+/// A job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// Id, and its place in the file.
+    pub id: String,
+    /// Where the job begins.
+    pub at: usize,
+    /// Path for faults, `job.ID`.
+    pub path: String,
+    /// Shown name.
+    pub name: String,
+    /// Namespace.
+    pub namespace: String,
+    /// Region, if one is named, and where.
+    pub region: Option<(String, usize)>,
+    /// Service or batch.
+    pub kind: Kind,
+    /// 1 to 100.
+    pub priority: u32,
+    /// Patterns of zones; empty for every zone.
+    pub datacenters: Vec<(String, usize)>,
+    /// Meta.
+    pub meta: BTreeMap<String, String>,
+    /// Groups.
+    pub groups: Vec<Group>,
+    /// Launches by cron.
+    pub periodic: Option<Periodic>,
+    /// Runs by dispatch.
+    pub parameterized: Option<Parameterized>,
+}
+
+/// A group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Group {
+    /// Name.
+    pub name: String,
+    /// Place.
+    pub at: usize,
+    /// Path for faults.
+    pub path: String,
+    /// Repeats.
+    pub count: u32,
+    /// Place of the count, or of the group.
+    pub count_at: usize,
+    /// Constraints of job, group and task.
+    pub constraints: Vec<Match>,
+    /// Affinities of the three, with their weights.
+    pub affinities: Vec<(Match, f64)>,
+    /// Spread over zones.
+    pub spread: bool,
+    /// Failed attempts on a machine; `None` without end.
+    pub restarts: Option<u32>,
+    /// Place of that.
+    pub restarts_at: usize,
+    /// Moves to another machine; `None` without end.
+    pub reschedules: Option<u32>,
+    /// Place of that.
+    pub reschedules_at: usize,
+    /// Disk in MB, and its place.
+    pub disk_mb: (u64, usize),
+    /// Meta of group and task.
+    pub meta: BTreeMap<String, String>,
+    /// The task.
+    pub task: Task,
+}
+
+/// A task.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Task {
+    /// Name.
+    pub name: String,
+    /// Place.
+    pub at: usize,
+    /// Driver.
+    pub driver: String,
+    /// Configuration for the driver.
+    pub config: Datum,
+    /// Environment.
+    pub env: BTreeMap<String, String>,
+    /// MHz, unless cores are asked for.
+    pub cpu_mhz: u64,
+    /// Whole CPUs.
+    pub cores: Option<u64>,
+    /// MiB.
+    pub memory_mb: u64,
+    /// Place of the resources.
+    pub resources_at: usize,
+    /// Time to end when it is stopped.
+    pub kill_timeout: Micros,
+    /// Place of that.
+    pub kill_at: usize,
+}
+
+/// A constraint or an affinity.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Match {
+    /// Left side, as `${node.class}`.
+    pub attribute: String,
+    /// How it is compared.
+    pub operator: String,
+    /// Right side.
+    pub value: String,
+    /// Place.
+    pub at: usize,
+    /// Path for faults.
+    pub path: String,
+}
+
+/// Launches by cron.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Periodic {
+    /// It launches.
+    pub enabled: bool,
+    /// Cron expressions.
+    pub crons: Vec<String>,
+    /// Time zone.
+    pub time_zone: String,
+    /// No launch while an earlier one runs.
+    pub prohibit_overlap: bool,
+    /// Place.
+    pub at: usize,
+}
+
+/// Whether a dispatch carries a payload.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Payload {
+    /// It may.
+    Optional,
+    /// It must.
+    Required,
+    /// It must not.
+    Forbidden,
+}
+
+/// Runs by dispatch.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parameterized {
+    /// Payload.
+    pub payload: Payload,
+    /// Keys that a dispatch must give.
+    pub required: Vec<String>,
+    /// Keys that it may give.
+    pub optional: Vec<String>,
+}
+
+/// Longest id, name or key.
+pub const MAX_NAME: usize = 128;
+/// Most groups of a job.
+pub const MAX_GROUPS: usize = 64;
+/// Most repeats of a group, whatever the class: as natively.
+pub const MAX_COUNT: u64 = 100_000;
+
+/// Reads a job's block; `None` if there is too little of it to go on. All
+/// faults are collected.
+pub fn read(block: &Block, faults: &mut Faults) -> Option<Job> {
+    let label = match &block.labels[..] {
+        [(l, _)] => Some(l.clone()),
+        [] => None,
+        _ => {
+            faults.refused(block.at, "job", "a job has one name");
+            None
+        }
+    };
+    let mut r = Reader { faults };
+    let path = label.as_ref().map_or("job".to_owned(), |l| format!("job.{l}"));
+    r.check(&block.body, "", &path);
+    let t = &block.body;
+    let id = r.text(t, "id", &path).or(label);
+    let Some(id) = id else {
+        r.faults.refused(block.at, &path, "the job has no id");
+        return None;
+    };
+    let name = r.text(t, "name", &path).unwrap_or_else(|| id.clone());
+    let namespace = r.text(t, "namespace", &path).unwrap_or_else(|| "default".into());
+    for (what, text) in [("id", &id), ("name", &name), ("namespace", &namespace)] {
+        r.name(what, text, block.at, &path);
+    }
+    let kind = match r.text(t, "type", &path).as_deref() {
+        None | Some("service") => Kind::Service,
+        Some("batch") => Kind::Array,
+        Some(other) => {
+            let at = place(t, "type");
+            let text = match other {
+                "system" | "sysbatch" => {
+                    format!(
+                        "{other} runs a task on every machine; machines are rented as work needs them, so there is no such set"
+                    )
+                }
+                _ => format!("\"{other}\" must be service or batch"),
+            };
+            r.faults.refused(at, &format!("{path}.type"), text);
+            Kind::Service
+        }
+    };
+    let priority = match r.whole(t, "priority", &path) {
+        None => 50,
+        Some(p) if (1..=100).contains(&p) => p as u32,
+        Some(p) => {
+            let text = format!("{p} must be 1 to 100");
+            r.faults.refused(place(t, "priority"), &format!("{path}.priority"), text);
+            50
+        }
+    };
+    if let Some(pool) = r.text(t, "node_pool", &path)
+        && !matches!(pool.as_str(), "default" | "all")
+    {
+        let text = format!("there is no node pool {pool}: default and all are every machine");
+        r.faults.refused(place(t, "node_pool"), &format!("{path}.node_pool"), text);
+    }
+    let constraints = r.matches(t, "constraint", &path);
+    let affinities = r.affinities(t, &path);
+    let spread = r.spread(t, &path);
+    let reschedule = t.block("reschedule");
+    let mut groups = Vec::new();
+    for b in t.all("group") {
+        if groups.len() == MAX_GROUPS {
+            r.faults.refused(b.at, &path, format!("a job has at most {MAX_GROUPS} groups"));
+            break;
+        }
+        let Some(mut g) = r.group(b, kind, reschedule, &path) else { continue };
+        if groups.iter().any(|x: &Group| x.name == g.name) {
+            r.faults.refused(g.at, &g.path, "the job has this group twice");
+        }
+        g.constraints.splice(0..0, constraints.iter().cloned());
+        g.affinities.splice(0..0, affinities.iter().cloned());
+        g.spread |= spread;
+        groups.push(g);
+    }
+    if t.all("group").next().is_none() {
+        let text = match t.attr("task") {
+            Some(_) => "tasks stand in a group",
+            None => "the job has no group",
+        };
+        r.faults.refused(block.at, &path, text);
+    }
+    let periodic = t.block("periodic").map(|b| r.periodic(b, &path));
+    let parameterized = t.block("parameterized").map(|b| r.parameterized(b, &path));
+    if let (Kind::Service, true) = (kind, periodic.is_some() || parameterized.is_some()) {
+        let what = if periodic.is_some() { "periodic" } else { "parameterized" };
+        let at = t.block(what).map_or(block.at, |b| b.at);
+        r.faults.refused(at, &format!("{path}.{what}"), "is for jobs of type batch: a service has no end");
+    }
+    if periodic.is_some() && parameterized.is_some() {
+        r.faults.refused(block.at, &path, "a job is periodic or parameterized, not both");
+    }
+    Some(Job {
+        at: block.at,
+        name,
+        namespace,
+        region: r.text(t, "region", &path).map(|v| (v, place(t, "region"))),
+        kind,
+        priority,
+        datacenters: r.texts(t, "datacenters", &path),
+        meta: r.map(t, "meta", &path),
+        groups,
+        periodic,
+        parameterized,
+        id,
+        path,
+    })
+}
+
+fn place(t: &Tree, name: &str) -> usize {
+    t.attr(name).map(|a| a.at).or_else(|| t.block(name).map(|b| b.at)).unwrap_or(t.at)
+}
+
+/// A length of time: nanoseconds, or text such as `1h30m`.
+pub fn span(d: &Datum) -> Result<Micros, String> {
+    match d {
+        Datum::Number(n) if *n >= 0.0 && *n < 1e19 => Ok(Micros((*n / 1000.0) as u64)),
+        Datum::Number(n) => Err(format!("{n} must not be negative")),
+        Datum::Text(s) => match s.parse::<jiff::SignedDuration>() {
+            Ok(d) if !d.is_negative() => match u64::try_from(d.as_micros()) {
+                Ok(us) => Ok(Micros(us)),
+                Err(_) => Err(format!("\"{s}\" is too long")),
+            },
+            Ok(_) => Err(format!("\"{s}\" must not be negative")),
+            Err(_) if s == "0" => Ok(Micros(0)),
+            Err(_) => Err(format!("\"{s}\" is not a length of time such as 1h30m")),
+        },
+        d => Err(format!("must be a length of time such as \"1h30m\", not {}", d.kind())),
+    }
+}
+
+struct Reader<'f> {
+    faults: &'f mut Faults,
+}
+
+impl Reader<'_> {
+    /// Walks the table: every field must be in it, of its shape, and served or
+    /// at least taken.
+    fn check(&mut self, t: &Tree, stanza: &str, path: &str) {
+        for a in &t.attrs {
+            let here = format!("{path}.{}", a.name);
+            let Some(row) = table::find(stanza, &a.name) else {
+                self.unknown(stanza, &a.name, a.at, &here);
+                continue;
+            };
+            if self.verdict(row, a.at, &here, &a.value.datum) {
+                self.shape(row, a, &here);
+            }
+        }
+        let mut seen: Vec<(&str, Option<&str>)> = Vec::new();
+        for b in &t.blocks {
+            let mut here = format!("{path}.{}", b.name);
+            let Some(row) = table::find(stanza, &b.name) else {
+                self.unknown(stanza, &b.name, b.at, &here);
+                continue;
+            };
+            if !self.verdict(row, b.at, &here, &Datum::Bool(true)) {
+                continue;
+            }
+            b.labels.iter().for_each(|(l, _)| here.extend([".", l]));
+            let labels = matches!(row.shape, Shape::Named) as usize;
+            if b.labels.len() != labels {
+                let text = if labels == 1 { "needs one name" } else { "has no name" };
+                self.faults.refused(b.at, &here, text);
+                continue;
+            }
+            let name = (b.name.as_str(), b.labels.first().map(|l| l.0.as_str()));
+            match row.shape {
+                Shape::Block | Shape::Map | Shape::Any if seen.contains(&name) => {
+                    self.faults.refused(b.at, &here, "stands twice");
+                }
+                Shape::Block | Shape::Blocks | Shape::Named => {
+                    let stanza =
+                        if stanza.is_empty() { b.name.clone() } else { format!("{stanza}.{}", b.name) };
+                    self.check(&b.body, &stanza, &here);
+                }
+                Shape::Map | Shape::Any => {}
+                _ => self.faults.refused(b.at, &here, "is set with =, it is no block"),
+            }
+            seen.push(name);
+        }
+    }
+
+    fn unknown(&mut self, stanza: &str, name: &str, at: usize, path: &str) {
+        let near = table::children(stanza)
+            .map(|r| table::last(r.path))
+            .map(|n| (strsim::damerau_levenshtein(n, name), n))
+            .min()
+            .filter(|(d, _)| *d <= 2);
+        let text = match near {
+            Some((_, n)) => format!("is not in the job specification; did you mean {n}?"),
+            None => "is not in the job specification".to_owned(),
+        };
+        self.faults.refused(at, path, text);
+    }
+
+    /// Whether the field is to be read.
+    fn verdict(&mut self, row: &Row, at: usize, path: &str, value: &Datum) -> bool {
+        match row.verdict {
+            Verdict::Served(_) => *value != Datum::Null,
+            Verdict::ReadOnly => false,
+            _ if value.is_empty() => false,
+            Verdict::NoEffect(why) => {
+                self.faults.warning(at, path, format!("has no effect: {why}"));
+                // A stanza without effect is not looked into.
+                !matches!(row.shape, Shape::Block | Shape::Blocks | Shape::Named)
+            }
+            Verdict::Refused(why) => {
+                self.faults.refused(at, path, format!("is not served: {why}"));
+                false
+            }
+        }
+    }
+
+    fn shape(&mut self, row: &Row, a: &Attr, path: &str) {
+        let d = &a.value.datum;
+        let fault = match row.shape {
+            Shape::Text => d.text().is_none().then_some("must be text"),
+            Shape::Whole => match d {
+                Datum::Number(n) if *n >= 0.0 && n.fract() == 0.0 && *n <= 9e15 => None,
+                _ => Some("must be a whole number from 0"),
+            },
+            Shape::Number => (!matches!(d, Datum::Number(_))).then_some("must be a number"),
+            Shape::Bool => (!matches!(d, Datum::Bool(_))).then_some("must be true or false"),
+            Shape::Span => {
+                if let Err(text) = span(d) {
+                    self.faults.refused(a.value.at, path, text);
+                }
+                None
+            }
+            Shape::Texts => match d {
+                Datum::List(l) if l.iter().all(|n| matches!(n.datum, Datum::Text(_))) => None,
+                _ => Some("must be a list of texts"),
+            },
+            Shape::Map => match d {
+                Datum::Map(m) if m.iter().all(|(_, n)| n.datum.text().is_some()) => None,
+                _ => Some("must be a map of texts"),
+            },
+            Shape::Any => None,
+            Shape::Block | Shape::Blocks | Shape::Named => Some("is a block: write it without ="),
+        };
+        if let Some(text) = fault {
+            let is = match d {
+                Datum::Number(_) | Datum::Bool(_) => d.text().unwrap_or_default(),
+                _ => d.kind().to_owned(),
+            };
+            self.faults.refused(a.value.at, path, format!("{text}, not {is}"));
+        }
+    }
+
+    fn name(&mut self, what: &str, text: &str, at: usize, path: &str) {
+        let bad = text.is_empty()
+            || text.len() > MAX_NAME
+            || text.chars().any(|c| c.is_whitespace() || c.is_control());
+        if bad {
+            let text = format!("must have 1 to {MAX_NAME} bytes without white space");
+            self.faults.refused(at, &format!("{path}.{what}"), text);
+        }
+    }
+
+    // What follows reads fields whose shape was checked: a fault there was told,
+    // and the field counts as not set.
+
+    fn text(&mut self, t: &Tree, name: &str, path: &str) -> Option<String> {
+        let a = t.attr(name)?;
+        match &a.value.datum {
+            Datum::Runtime(s) => {
+                let text = format!("{s} is known only on the machine; here it is needed before");
+                self.faults.refused(a.value.at, &format!("{path}.{name}"), text);
+                None
+            }
+            d => d.text(),
+        }
+    }
+
+    fn whole(&self, t: &Tree, name: &str, _path: &str) -> Option<u64> {
+        match t.attr(name)?.value.datum {
+            Datum::Number(n) if n >= 0.0 && n.fract() == 0.0 && n <= 9e15 => Some(n as u64),
+            _ => None,
+        }
+    }
+
+    fn flag(&self, t: &Tree, name: &str) -> Option<bool> {
+        match t.attr(name)?.value.datum {
+            Datum::Bool(b) => Some(b),
+            _ => None,
+        }
+    }
+
+    fn texts(&self, t: &Tree, name: &str, _path: &str) -> Vec<(String, usize)> {
+        match t.attr(name).map(|a| &a.value.datum) {
+            Some(Datum::List(l)) => l.iter().filter_map(|n| Some((n.datum.text()?, n.at))).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn map(&mut self, t: &Tree, name: &str, path: &str) -> BTreeMap<String, String> {
+        let mut out = BTreeMap::new();
+        let fields: Vec<(&String, &Node)> = match (t.attr(name).map(|a| &a.value.datum), t.block(name)) {
+            (Some(Datum::Map(m)), _) => m.iter().map(|(k, n)| (k, n)).collect(),
+            (_, Some(b)) => {
+                for inner in &b.body.blocks {
+                    self.faults.refused(inner.at, &format!("{path}.{name}"), "holds no blocks");
+                }
+                b.body.attrs.iter().map(|a| (&a.name, &a.value)).collect()
+            }
+            _ => return out,
+        };
+        for (k, n) in fields {
+            match n.datum.text() {
+                Some(v) => drop(out.insert(k.clone(), v)),
+                None => self.faults.refused(n.at, &format!("{path}.{name}.{k}"), "must be text"),
+            }
+        }
+        out
+    }
+
+    fn matches(&mut self, t: &Tree, stanza: &str, path: &str) -> Vec<Match> {
+        t.all(stanza).filter_map(|b| self.one_match(b, &format!("{path}.{stanza}"))).collect()
+    }
+
+    fn one_match(&mut self, b: &Block, path: &str) -> Option<Match> {
+        let t = &b.body;
+        let any = |name: &str| t.attr(name).and_then(|a| a.value.datum.text());
+        let mut operator = any("operator").unwrap_or_else(|| "=".into());
+        let mut value = any("value").unwrap_or_default();
+        for short in ["regexp", "set_contains", "set_contains_all", "set_contains_any"] {
+            if let Some(v) = any(short) {
+                (operator, value) = (short.to_owned(), v);
+            }
+        }
+        let attribute = any("attribute").unwrap_or_default();
+        if attribute.is_empty() {
+            // `distinct_hosts` and alike have none, and are refused above.
+            let told = t.attrs.iter().any(|a| a.name.starts_with("distinct"));
+            if !told && !operator.starts_with("distinct") {
+                self.faults.refused(b.at, path, "attribute is missing");
+            }
+            if operator.starts_with("distinct") {
+                self.faults.refused(
+                    b.at,
+                    path,
+                    format!("{operator} is not served: repeats share machines where there is room"),
+                );
+            }
+            return None;
+        }
+        Some(Match { attribute, operator, value, at: b.at, path: path.to_owned() })
+    }
+
+    fn affinities(&mut self, t: &Tree, path: &str) -> Vec<(Match, f64)> {
+        let mut out = Vec::new();
+        for b in t.all("affinity") {
+            let here = format!("{path}.affinity");
+            let weight = match b.body.attr("weight").map(|a| &a.value.datum) {
+                None => 50.0,
+                Some(Datum::Number(n)) if *n != 0.0 && n.abs() <= 100.0 => *n,
+                Some(_) => {
+                    self.faults.refused(b.at, &format!("{here}.weight"), "must be -100 to 100, not 0");
+                    continue;
+                }
+            };
+            out.extend(self.one_match(b, &here).map(|m| (m, weight)));
+        }
+        out
+    }
+
+    fn spread(&mut self, t: &Tree, path: &str) -> bool {
+        let mut spread = false;
+        for b in t.all("spread") {
+            let here = format!("{path}.spread");
+            let attribute = b.body.attr("attribute").and_then(|a| a.value.datum.text()).unwrap_or_default();
+            if attribute != "${node.datacenter}" {
+                let text = format!(
+                    "\"{attribute}\" is not served: repeats are spread over ${{node.datacenter}} only"
+                );
+                self.faults.refused(b.at, &format!("{here}.attribute"), text);
+                continue;
+            }
+            match self.whole(&b.body, "weight", &here) {
+                Some(w) if w > 100 => {
+                    self.faults.refused(b.at, &format!("{here}.weight"), "must be 0 to 100")
+                }
+                w => spread |= w != Some(0),
+            }
+        }
+        spread
+    }
+
+    /// Attempts of a `restart` or `reschedule`; `None` without end.
+    fn attempts(&mut self, b: Option<&Block>, default: Option<u32>, path: &str) -> (Option<u32>, usize) {
+        let Some(b) = b else { return (default, 0) };
+        let path = format!("{path}.{}", b.name);
+        let t = &b.body;
+        let at = t.attr("attempts").map_or(b.at, |a| a.at);
+        let mut n =
+            self.whole(t, "attempts", &path).map(|n| Some(n.min(u32::MAX as u64) as u32)).unwrap_or(default);
+        if self.flag(t, "unlimited") == Some(true) {
+            if self.whole(t, "attempts", &path).is_some_and(|n| n > 0) {
+                self.faults.refused(at, &format!("{path}.attempts"), "stands beside unlimited: one of both");
+            }
+            n = None;
+        } else if self.flag(t, "unlimited") == Some(false) && n.is_none() {
+            n = Some(0);
+        }
+        match self.text(t, "mode", &path).as_deref() {
+            None | Some("fail") => {}
+            Some("delay") => n = None,
+            Some(other) => {
+                let text = format!("\"{other}\" must be fail or delay");
+                self.faults.refused(place(t, "mode"), &format!("{path}.mode"), text);
+            }
+        }
+        (n, at)
+    }
+
+    fn group(&mut self, b: &Block, kind: Kind, reschedule: Option<&Block>, path: &str) -> Option<Group> {
+        let (name, _) = b.labels.first()?;
+        let path = format!("{path}.group.{name}");
+        self.name("name", name, b.at, &path);
+        let t = &b.body;
+        let tasks: Vec<&Block> = t.all("task").collect();
+        let Some(first) = tasks.first() else {
+            self.faults.refused(b.at, &path, "the group has no task");
+            return None;
+        };
+        for more in &tasks[1..] {
+            self.faults.refused(
+                more.at,
+                &format!("{path}.task"),
+                "a second task is not served: a worker runs one command for each repeat; make it a group of its own",
+            );
+        }
+        let task = self.task(first, &path)?;
+        let task_path = format!("{path}.task.{}", task.name);
+        let mut constraints = self.matches(t, "constraint", &path);
+        constraints.extend(self.matches(&first.body, "constraint", &task_path));
+        let mut affinities = self.affinities(t, &path);
+        affinities.extend(self.affinities(&first.body, &task_path));
+        let (restarts, reschedules) = match kind {
+            Kind::Array => (Some(3), Some(1)),
+            Kind::Service => (Some(2), None),
+        };
+        let restart = first.body.block("restart").or(t.block("restart"));
+        let (restarts, restarts_at) = self.attempts(restart, restarts, &path);
+        let (reschedules, reschedules_at) =
+            self.attempts(t.block("reschedule").or(reschedule), reschedules, &path);
+        let count = match self.whole(t, "count", &path) {
+            Some(n) if n > MAX_COUNT => {
+                let text = format!("{n} is more than {MAX_COUNT}, the most that any job may have");
+                self.faults.refused(place(t, "count"), &format!("{path}.count"), text);
+                1
+            }
+            n => n.unwrap_or(1) as u32,
+        };
+        let mut meta = self.map(t, "meta", &path);
+        meta.extend(self.map(&first.body, "meta", &task_path));
+        let disk = t.block("ephemeral_disk");
+        Some(Group {
+            name: name.clone(),
+            at: b.at,
+            count,
+            count_at: t.attr("count").map_or(b.at, |a| a.at),
+            constraints,
+            affinities,
+            spread: self.spread(t, &path),
+            restarts,
+            restarts_at,
+            reschedules,
+            reschedules_at,
+            disk_mb: disk.map_or((300, b.at), |d| {
+                (self.whole(&d.body, "size", &path).unwrap_or(300), place(&d.body, "size"))
+            }),
+            meta,
+            task,
+            path,
+        })
+    }
+
+    fn task(&mut self, b: &Block, path: &str) -> Option<Task> {
+        let (name, _) = b.labels.first()?;
+        let path = format!("{path}.task.{name}");
+        self.name("name", name, b.at, &path);
+        let t = &b.body;
+        let driver = self.text(t, "driver", &path).unwrap_or_default();
+        if driver.is_empty() {
+            self.faults.refused(b.at, &format!("{path}.driver"), "is missing");
+        }
+        let none = Tree::default();
+        let res = t.block("resources").map_or(&none, |r| &r.body);
+        let resources_at = t.block("resources").map_or(b.at, |r| r.at);
+        let res_path = format!("{path}.resources");
+        let cores = self.whole(res, "cores", &res_path).filter(|c| *c > 0);
+        let cpu = self.whole(res, "cpu", &res_path).filter(|c| *c > 0);
+        if cores.is_some() && cpu.is_some() {
+            self.faults.refused(
+                place(res, "cores"),
+                &format!("{res_path}.cores"),
+                "stands beside cpu: one of both",
+            );
+        }
+        Some(Task {
+            name: name.clone(),
+            at: b.at,
+            driver,
+            config: match (t.attr("config"), t.block("config")) {
+                (Some(a), _) => a.value.datum.clone(),
+                (None, Some(b)) => as_map(&b.body),
+                _ => Datum::Null,
+            },
+            env: self.map(t, "env", &path),
+            cpu_mhz: cpu.unwrap_or(100),
+            cores,
+            memory_mb: self.whole(res, "memory", &res_path).filter(|m| *m > 0).unwrap_or(300),
+            resources_at,
+            kill_timeout: t
+                .attr("kill_timeout")
+                .and_then(|a| span(&a.value.datum).ok())
+                .unwrap_or(Micros::secs(5)),
+            kill_at: place(t, "kill_timeout"),
+        })
+    }
+
+    fn periodic(&mut self, b: &Block, path: &str) -> Periodic {
+        let path = format!("{path}.periodic");
+        let t = &b.body;
+        let mut crons: Vec<String> = self.texts(t, "crons", &path).into_iter().map(|c| c.0).collect();
+        crons.extend(self.text(t, "cron", &path));
+        if let Some(kind) = self.text(t, "spec_type", &path)
+            && kind != "cron"
+        {
+            self.faults.refused(place(t, "spec_type"), &format!("{path}.spec_type"), "must be cron");
+        }
+        let time_zone = self.text(t, "time_zone", &path).unwrap_or_else(|| "UTC".into());
+        if crons.is_empty() {
+            self.faults.refused(b.at, &path, "cron is missing");
+        }
+        for c in &crons {
+            if let Err(text) = crate::cron::Cron::read(c, &time_zone) {
+                self.faults.refused(place(t, "cron"), &format!("{path}.cron"), text);
+            }
+        }
+        Periodic {
+            enabled: self.flag(t, "enabled").unwrap_or(true),
+            crons,
+            time_zone,
+            prohibit_overlap: self.flag(t, "prohibit_overlap").unwrap_or(false),
+            at: b.at,
+        }
+    }
+
+    fn parameterized(&mut self, b: &Block, path: &str) -> Parameterized {
+        let path = format!("{path}.parameterized");
+        let t = &b.body;
+        let payload = match self.text(t, "payload", &path).as_deref() {
+            None | Some("" | "optional") => Payload::Optional,
+            Some("required") => Payload::Required,
+            Some("forbidden") => Payload::Forbidden,
+            Some(other) => {
+                let text = format!("\"{other}\" must be optional, required or forbidden");
+                self.faults.refused(place(t, "payload"), &format!("{path}.payload"), text);
+                Payload::Optional
+            }
+        };
+        let names = |l: Vec<(String, usize)>| l.into_iter().map(|x| x.0).collect::<Vec<_>>();
+        let required = names(self.texts(t, "meta_required", &path));
+        let optional = names(self.texts(t, "meta_optional", &path));
+        if let Some(k) = required.iter().find(|k| optional.contains(k)) {
+            self.faults.refused(b.at, &path, format!("{k} is both required and optional"));
+        }
+        Parameterized { payload, required, optional }
+    }
+}
+
+/// A block of any content as a map; blocks of one name become a list.
+fn as_map(t: &Tree) -> Datum {
+    let mut out: Vec<(String, Node)> = t.attrs.iter().map(|a| (a.name.clone(), a.value.clone())).collect();
+    for b in &t.blocks {
+        let mut inner = as_map(&b.body);
+        for (l, at) in b.labels.iter().rev() {
+            inner = Datum::Map(vec![(l.clone(), Node { at: *at, datum: inner })]);
+        }
+        let node = Node { at: b.at, datum: inner };
+        match out.iter_mut().find(|(k, _)| *k == b.name) {
+            Some((_, Node { datum: Datum::List(l), .. })) => l.push(node),
+            _ => out.push((b.name.clone(), Node { at: b.at, datum: Datum::List(vec![node]) })),
+        }
+    }
+    Datum::Map(out)
+}
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -72,6 +72,25 @@
     pub save_s: f64,
     /// Deadline, from the submission.
     pub deadline_s: Option<f64>,
+    /// Failed attempts after which a task, and with it its job, has failed for
+    /// good; without end natively.
+    pub attempts: Option<u32>,
+    /// Machines that come first or last where there is a choice.
+    pub prefer: Vec<Preference>,
+}
+
+/// How much a kind of machine is preferred.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Preference {
+    /// Type.
+    #[serde(rename = "t")]
+    pub build: String,
+    /// Zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// More is better; below 0 it is avoided.
+    #[serde(rename = "w")]
+    pub weight: i32,
 }
 
 impl JobSpec {
@@ -82,6 +101,15 @@
             && self.zones.as_ref().is_none_or(|l| l.iter().any(|z| z == zone))
             && size.fits(&self.need)
     }
+    /// How little a kind of machine is preferred, 0 at best.
+    pub fn dislike(&self, build: &str, zone: &str) -> u64 {
+        if self.prefer.is_empty() {
+            return 0;
+        }
+        let weight = |p: &Preference| p.weight.clamp(-1_000_000, 1_000_000) as i64;
+        let here: i64 = self.prefer.iter().filter(|p| p.build == build && p.zone == zone).map(weight).sum();
+        (1_000_000 - here.clamp(-1_000_000, 1_000_000)) as u64
+    }
     /// Most tasks that may be in one zone.
     pub fn zone_cap(&self) -> u32 {
         if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -100,6 +100,8 @@
         checkpoint_s: s.mark_s,
         save_s: s.stow_s,
         deadline_s: s.due_s,
+        attempts: None,
+        prefer: Vec::new(),
     })
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,9 @@
 //! Settings: the platform's TOML file and the operators' own file.
 #![warn(missing_docs)]
+mod nomad;
 mod operator;
 mod platform;
+pub use nomad::{Nomad, NomadClass, NomadMachine, NomadToken};
 pub use operator::{LogFormat, Operator};
 pub use platform::{Objective, Platform, Team};
 
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' own file, in protobuf text format.
 use super::SettingsError;
+use super::nomad::Nomad;
 use gorseshore_protocol::ids::Micros;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
 use std::collections::HashMap;
@@ -36,6 +37,8 @@
     pub spare_cpus: f64,
     /// Log format.
     pub log_format: LogFormat,
+    /// Nomad's job files and interface, if they are served.
+    pub nomad: Option<Nomad>,
 }
 
 impl Default for Operator {
@@ -51,6 +54,7 @@
             max_machines: usize::MAX,
             spare_cpus: 4.0,
             log_format: LogFormat::Plain,
+            nomad: None,
         }
     }
 }
@@ -132,6 +136,12 @@
                 }
             }
         }
+        if msg.has_field_by_name("nomad")
+            && let Some(v) = msg.get_field_by_name("nomad")
+            && let Some(m) = v.as_message()
+        {
+            o.nomad = Some(Nomad::read(m, &mut faults));
+        }
         if faults.is_empty() { Ok(o) } else { Err(SettingsError(faults)) }
     }
 }
