The core knows bounded attempts, scaling in place, replacement, and ids of its own

Need: a Nomad job's restarts and reschedules are bounded, its count changes in place, a new version replaces the old one without both being counted, and the ids behind it must never meet a user's.

Change: failed attempts of a bounded task are counted once an attempt and recorded before it is started again; a job whose attempts are used up is ended by a record conditioned on its own and on having no end, with the cause; it reads aborted with that cause natively. A job's record may change its number of tasks: what is above is stopped by every controller and not started, what comes is. A job may name the one it replaces: nothing of it starts before that one is over, unbound, and settled by record. Ids from 10^18 on are the service's: users can read such a job and can't submit or abort one.

Off for native jobs: no field is written, no pass is added (the held set and the bounded jobs are empty).

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -178,7 +178,9 @@
 }
 
 fn over(job: Option<&Job>, index: u32) -> bool {
-    job.is_some_and(|j| j.phase != Phase::Active || j.done.contains(index))
+    job.is_some_and(|j| {
+        j.phase != Phase::Active || j.done.contains(index) || index >= j.tasks && j.spec.is_some()
+    })
 }
 
 /// What became of a hand-out, until the leader knows.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -50,6 +50,8 @@
     attempts: Option<u32>,
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     prefer: Vec<Preference>,
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    after: Option<u64>,
 }
 
 fn is_default<T: Default + PartialEq>(v: &T) -> bool {
@@ -78,6 +80,7 @@
             deadline_s: s.deadline_s,
             attempts: s.attempts,
             prefer: s.prefer.clone(),
+            after: s.after.map(|j| j.0),
         }
     }
 
@@ -107,6 +110,7 @@
             deadline_s: r.deadline_s,
             attempts: r.attempts,
             prefer: r.prefer,
+            after: r.after.map(JobId),
         })
     }
 
@@ -134,6 +138,7 @@
             deadline_s: at(row, 16)?,
             attempts: None,
             prefer: Vec::new(),
+            after: None,
         })
     }
 }
@@ -179,6 +184,14 @@
     pub fn is_empty(&self) -> bool {
         self.count == 0
     }
+    /// How many below `n` it holds.
+    pub fn below(&self, n: u32) -> u32 {
+        let at = n as usize / 64;
+        let mask = (1u64 << (n % 64)) - 1;
+        let beyond = self.words.get(at).map_or(0, |w| (w & !mask).count_ones())
+            + self.words.iter().skip(at + 1).map(|w| w.count_ones()).sum::<u32>();
+        self.count - beyond
+    }
     /// Adds all of `other`.
     pub fn union(&mut self, other: &TaskSet) {
         for (i, w) in other.words.iter().enumerate() {
@@ -237,8 +250,30 @@
     pub chunks: BTreeMap<u32, u64>,
     /// Number of tasks.
     pub tasks: u32,
+    /// Failed attempts of tasks whose number is bounded: how many, and the last
+    /// one that counted.
+    pub failed: BTreeMap<u32, Failures>,
+    /// Versions of the records of failures.
+    pub failed_stamps: BTreeMap<u32, u64>,
+    /// Why it was ended by the service.
+    pub cause: Option<String>,
+}
+
+/// How often a task has failed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failures {
+    /// Number of attempts.
+    #[serde(rename = "n")]
+    pub count: u32,
+    /// The last attempt that counted: one report of it counts once, however
+    /// often and to whomever it comes.
+    #[serde(rename = "a")]
+    pub last: u64,
 }
 
+/// Tasks in one record of failures: at most 2.6 KB.
+pub const FAILED_CHUNK: u32 = 64;
+
 /// A machine on which tasks may be started.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
@@ -305,6 +340,10 @@
     pub fn progress(id: JobId, chunk: u32) -> String {
         format!("g/p/{id}/{chunk}")
     }
+    /// A chunk of a job's failures.
+    pub fn failed(id: JobId, chunk: u32) -> String {
+        format!("g/f/{id}/{chunk}")
+    }
     /// The mailbox of one node for another, used when no way between them is left.
     pub fn mail(to: &str, from: &str) -> String {
         format!("g/c/{to}/{from}")
@@ -409,6 +448,9 @@
                 job.settled = v["gone"] == true;
                 job.done = TaskSet::default();
                 job.chunks.clear();
+                job.failed.clear();
+                job.failed_stamps.clear();
+                job.cause = v["why"].as_str().map(str::to_owned);
                 if was == Phase::Active {
                     self.over.push_back(id);
                 }
@@ -436,6 +478,20 @@
                 }
                 Change::Job(id)
             }
+            "f" => {
+                let Some((id, chunk)) = name.split_once('/') else { return Change::Other };
+                let (Some(id), Ok(chunk)) = (JobId::parse(id), chunk.parse::<u32>()) else {
+                    return Change::Other;
+                };
+                if let (Some(v), Some(job)) = (value, self.jobs.get_mut(&id))
+                    && job.phase == Phase::Active
+                    && let Ok(failed) = BTreeMap::<u32, Failures>::deserialize(v)
+                {
+                    job.failed.extend(failed);
+                    job.failed_stamps.insert(chunk, stamp);
+                }
+                Change::Job(id)
+            }
             "c" => match name.split_once('/') {
                 Some((to, _)) => Change::Mail(to.to_owned()),
                 None => Change::Other,
@@ -494,6 +550,9 @@
             done: TaskSet::default(),
             chunks: BTreeMap::new(),
             tasks: 0,
+            failed: BTreeMap::new(),
+            failed_stamps: BTreeMap::new(),
+            cause: None,
         }
     }
 }
@@ -514,6 +573,9 @@
                 back.add_chunk(c, &text);
             }
             assert_eq!(back.len(), set.len() as u32);
+            for n in [0, 1, 63, 64, 65, 8192, 50_000, 100_000] {
+                assert_eq!(back.below(n), set.iter().filter(|i| **i < n).count() as u32, "{n}");
+            }
             assert!(set.iter().all(|i| back.contains(*i)));
         }
     }
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -216,6 +216,15 @@
                 }
             }
             TaskState::Failed if known => {
+                if run.spec.attempts.is_some()
+                    && let Some(attempt) = run.bound.get(&task.index).map(|b| b.attempt.0)
+                {
+                    let f = run.fails.entry(task.index).or_default();
+                    if attempt > f.last {
+                        *f = Failures { count: f.count + 1, last: attempt };
+                        run.unsaved.insert(task.index);
+                    }
+                }
                 run.failures += 1;
                 run.failed_on.insert(id.clone());
                 if run.failed_on.len() > 1 && !run.proven {
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -91,6 +91,9 @@
                 self.grant_unheld(&mut load, &id, &zone, now);
             }
         }
+        if !self.held.is_empty() {
+            self.release(ledger, now);
+        }
         // Passes over the whole fleet: often enough for what they watch.
         if now.since(self.blocks_at) >= BLOCKS_EVERY {
             self.blocks_at = now;
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -349,7 +349,7 @@
                 running += r.bound.len() as f64;
             }
             let waiting = r.waiting();
-            if waiting == 0 || r.over || self.blocked(r) || r.failures > 5 && !r.proven {
+            if waiting == 0 || r.over || r.held || self.blocked(r) || r.failures > 5 && !r.proven {
                 continue;
             }
             let starving = r.bound.is_empty() && wall_ms > r.submitted_ms + 90_000;
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -11,7 +11,7 @@
 use crate::controller::Sizes;
 use crate::fair_queue::FairQueue;
 use crate::fleet::{self, Demand, Offer, Policy, Room};
-use crate::jobs::{Job, Ledger, MachineRecord, Phase, TaskSet};
+use crate::jobs::{Failures, Job, Ledger, MachineRecord, Phase, TaskSet};
 use crate::peer::{GrantedMachine, HandOut, MachineState, Message, Outcome, StopRequest, TaskState};
 use crate::placement::{self, Candidate};
 use gorseshore_protocol::cloud::{Flavor, Rental};
@@ -210,6 +210,12 @@
     /// Done or cancelled: nothing of it is started, but what is left of it on
     /// machines counts.
     over: bool,
+    /// Failed attempts, where their number is bounded, and the tasks whose
+    /// count is not recorded yet: those are not started again before it is.
+    fails: BTreeMap<u32, Failures>,
+    unsaved: BTreeSet<u32>,
+    /// Something of the job that it replaces may be left.
+    held: bool,
     /// Its running tasks as last told, and the update that first told so.
     shown: (u32, u64),
 }
@@ -228,6 +234,7 @@
             last_ms: at(last),
             submitted_ms: job.submitted_ms,
             done: job.done.clone(),
+            held: spec.after.is_some(),
             spec,
             bound: BTreeMap::new(),
             again: BTreeSet::new(),
@@ -240,16 +247,41 @@
             room_until: Micros(0),
             patience: None,
             over: job.phase != Phase::Active,
+            fails: job.failed.clone(),
+            unsaved: BTreeSet::new(),
             shown: (0, 0),
         }
     }
+    /// A task whose attempts are used up.
+    fn used_up(&self) -> Option<u32> {
+        let most = self.spec.attempts?;
+        self.fails.iter().find(|(_, f)| f.count >= most).map(|(i, _)| *i)
+    }
+    /// The record says so: number of tasks, progress and failures.
+    fn recorded(&mut self, job: &Job, spec: &JobSpec) {
+        self.done.union(&job.done);
+        if spec.tasks != self.spec.tasks {
+            // What is above the smaller number is looked at again.
+            self.next = self.next.min(spec.tasks).min(self.spec.tasks);
+            let mut s = JobSpec::clone(&self.spec);
+            s.tasks = spec.tasks;
+            self.spec = Rc::new(s);
+        }
+        for (i, f) in &job.failed {
+            let mine = self.fails.entry(*i).or_default();
+            if f.last >= mine.last {
+                *mine = *f;
+                self.unsaved.remove(i);
+            }
+        }
+    }
     /// The next task that waits.
     fn peek(&mut self) -> Option<u32> {
-        while let Some(i) = self.again.first().copied() {
-            if !self.done.contains(i) && !self.bound.contains_key(&i) {
+        while let Some(i) = self.again.iter().copied().find(|i| !self.unsaved.contains(i)) {
+            if i < self.spec.tasks && !self.done.contains(i) && !self.bound.contains_key(&i) {
                 return Some(i);
             }
-            self.again.pop_first();
+            self.again.remove(&i);
         }
         while self.next < self.spec.tasks {
             if !self.done.contains(self.next) && !self.bound.contains_key(&self.next) {
@@ -277,8 +309,9 @@
         (late, self.due_ms + (span as f64 * part) as u64, self.submitted_ms)
     }
     fn waiting(&self) -> u32 {
-        let bound = self.bound.keys().filter(|i| !self.done.contains(**i)).count() as u32;
-        self.spec.tasks.saturating_sub(self.done.len()).saturating_sub(bound)
+        let n = self.spec.tasks;
+        let bound = self.bound.keys().filter(|i| **i < n && !self.done.contains(**i)).count() as u32;
+        n.saturating_sub(self.done.below(n)).saturating_sub(bound)
     }
 }
 
@@ -335,6 +368,10 @@
     Hire(String),
     /// Progress of a job.
     Progress(JobId, u32),
+    /// How often tasks of a chunk have failed.
+    Failures(JobId, u32),
+    /// A task's attempts are used up: the job has failed.
+    Fail(JobId, u32),
     /// Nothing is left of a cancelled job.
     Settle(JobId),
     /// Machines of the record with this key are gone.
@@ -441,6 +478,8 @@
     jobs: BTreeMap<JobId, Run>,
     aborted: BTreeMap<JobId, Micros>,
     handouts: BTreeMap<Attempt, (NodeId, HandOut)>,
+    /// Jobs that wait for the end of the one that they replace.
+    held: BTreeSet<JobId>,
     /// Tasks that are handed out and whose place is not known.
     handed: BTreeSet<TaskId>,
     /// The blocks as sets, made when they are needed.
@@ -500,6 +539,7 @@
             jobs: BTreeMap::new(),
             aborted: BTreeMap::new(),
             handouts: BTreeMap::new(),
+            held: BTreeSet::new(),
             handed: BTreeSet::new(),
             blocks: BTreeMap::new(),
             sums: Sums::default(),
@@ -604,9 +644,12 @@
                 let Some(spec) = &job.spec else { return };
                 match self.jobs.get_mut(&id) {
                     None => {
+                        if spec.after.is_some() {
+                            self.held.insert(id);
+                        }
                         self.jobs.insert(id, Run::new(job, spec.clone(), &self.ctx.objectives));
                     }
-                    Some(run) => run.done.union(&job.done),
+                    Some(run) => run.recorded(job, spec),
                 }
             }
             Phase::Aborted if job.settled => {}
@@ -623,6 +666,38 @@
         }
     }
 
+    /// Lets go of jobs that wait for the end of the one that they replace.
+    fn release(&mut self, ledger: &Ledger, now: Micros) {
+        let free = |id: &JobId| {
+            let after = self.jobs.get(id).and_then(|r| r.spec.after);
+            after.is_none_or(|a| self.gone_for_good(a, ledger, now))
+        };
+        let free: Vec<JobId> = self.held.iter().filter(|id| free(id)).copied().collect();
+        for id in free {
+            self.held.remove(&id);
+            self.dirty = true;
+            if let Some(run) = self.jobs.get_mut(&id) {
+                run.held = false;
+            }
+        }
+    }
+
+    /// Whether nothing of a job is on any machine, nor can come there: it is
+    /// over, no task of it is bound, and if it was cancelled, that is settled,
+    /// or so long ago that the machines where it could be are gone.
+    fn gone_for_good(&self, id: JobId, ledger: &Ledger, now: Micros) -> bool {
+        if self.jobs.get(&id).is_some_and(|r| !r.bound.is_empty()) {
+            return false;
+        }
+        let Some(job) = ledger.jobs.get(&id) else { return true };
+        let long_ago = job.ended_ms + self.ctx.cancel.0 / 1000 + 2000 < self.wall_ms(now);
+        match job.phase {
+            Phase::Active => false,
+            Phase::Done => true,
+            Phase::Aborted => job.settled || long_ago,
+        }
+    }
+
     /// Messages that are due.
     pub fn messages(&mut self, now: Micros, lease_ok: bool) -> Vec<(NodeId, Message)> {
         let mut out = Vec::new();
--- a/crates/core/src/leader/records.rs
+++ b/crates/core/src/leader/records.rs
@@ -1,6 +1,6 @@
 //! What the leader records.
 use super::*;
-use crate::jobs::{machine_room, machines_value};
+use crate::jobs::{FAILED_CHUNK, machine_room, machines_value};
 use serde_json::Value;
 
 impl Leader {
@@ -9,10 +9,19 @@
         let mut v = Vec::new();
         let active = |id: &JobId| ledger.jobs.get(id).is_some_and(|j| j.phase == Phase::Active);
         for (id, r) in &self.jobs {
-            if r.spec.kind == Kind::Array && r.done.len() >= r.spec.tasks && active(id) {
+            if r.spec.kind == Kind::Array && r.done.below(r.spec.tasks) >= r.spec.tasks && active(id) {
                 v.push(LeaderWrite::End(*id));
             }
         }
+        // A job is failed by what is recorded, never by what one leader saw.
+        let bounded = self.jobs.iter().filter(|(id, r)| r.spec.attempts.is_some() && active(id));
+        for (id, r) in bounded {
+            if let Some(i) = r.used_up().filter(|i| !r.unsaved.contains(i)) {
+                v.push(LeaderWrite::Fail(*id, i));
+            }
+            let chunks: BTreeSet<u32> = r.unsaved.iter().map(|i| i / FAILED_CHUNK).collect();
+            v.extend(chunks.into_iter().map(|c| LeaderWrite::Failures(*id, c)));
+        }
         v.sort();
         let mut kinds: BTreeMap<(&str, &str, bool), (usize, Vec<MachineId>)> = BTreeMap::new();
         for (id, m) in &self.machines {
@@ -31,7 +40,7 @@
             }
         }
         for (id, r) in &self.jobs {
-            if r.done.len() < r.spec.tasks
+            if r.done.below(r.spec.tasks) < r.spec.tasks
                 && active(id)
                 && r.unrecorded_since.is_some_and(|t| now.since(t) > Micros::millis(1500))
             {
@@ -97,6 +106,18 @@
         self.jobs.get(&id).map(|r| r.done.chunk_text(chunk))
     }
 
+    /// The record of a chunk of failures.
+    pub fn failures(&self, id: JobId, chunk: u32) -> Option<BTreeMap<u32, Failures>> {
+        let run = self.jobs.get(&id)?;
+        let range = chunk * FAILED_CHUNK..(chunk + 1) * FAILED_CHUNK;
+        Some(run.fails.range(range).map(|(i, f)| (*i, *f)).collect())
+    }
+
+    /// How often a task has failed.
+    pub fn attempts_of(&self, id: JobId, index: u32) -> u32 {
+        self.jobs.get(&id).and_then(|r| r.fails.get(&index)).map_or(0, |f| f.count)
+    }
+
     /// A write succeeded.
     pub fn written(&mut self, w: &LeaderWrite) {
         self.dirty = true;
@@ -121,7 +142,12 @@
                     r.unrecorded_since = None;
                 }
             }
-            LeaderWrite::End(_) | LeaderWrite::Settle(_) | LeaderWrite::Forget(_) => {}
+            // What the mirror shows of these is what counts.
+            LeaderWrite::End(_)
+            | LeaderWrite::Failures(..)
+            | LeaderWrite::Fail(..)
+            | LeaderWrite::Settle(_)
+            | LeaderWrite::Forget(_) => {}
         }
     }
 
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -216,10 +216,10 @@
         let unknown = self.machines.values().any(|m| m.unknown);
         let mut waiting: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
         let mut ready: Vec<JobId> = Vec::new();
-        for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over) {
+        for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over && !r.held) {
             if run.retry_at > now {
                 self.dirty = true;
-            } else if run.peek().is_some() {
+            } else if run.used_up().is_none() && run.peek().is_some() {
                 ready.push(*id);
             }
         }
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -74,6 +74,39 @@
         self.leader.job_changed(JobId(id), &self.ledger, self.now);
     }
 
+    /// Changes a job's record at `stamp`.
+    fn edit(&mut self, id: u64, stamp: u64, edit: impl Fn(&mut JobSpec)) {
+        let mut spec = JobSpec::clone(self.ledger.jobs[&JobId(id)].spec.as_ref().unwrap());
+        edit(&mut spec);
+        self.ledger.apply(&keys::job(JobId(id)), Some(&job_value(&spec, 1_000_000)), stamp);
+        self.leader.job_changed(JobId(id), &self.ledger, self.now);
+    }
+
+    /// What is written of failures goes into the records.
+    fn save_failures(&mut self, stamp: u64) {
+        for w in self.leader.writes(&self.ledger, 4000, self.now) {
+            if let LeaderWrite::Failures(id, chunk) = w {
+                let v = json!(self.leader.failures(id, chunk).unwrap());
+                self.ledger.apply(&keys::failed(id, chunk), Some(&v), stamp);
+                self.leader.job_changed(id, &self.ledger, self.now);
+            }
+        }
+    }
+
+    /// The task starts and fails; its attempt.
+    fn fail(&mut self, id: u64, index: u32) -> Attempt {
+        let a = self.attempt(task(id, index)).expect("handed out");
+        self.sync(A, &[], &[Outcome { attempt: a, machine: Some(m("m0")) }]);
+        let token = self.token("m0");
+        for state in [TaskState::Running, TaskState::Failed, TaskState::Failed] {
+            let s = self.state("m0", token, &[(task(id, index), a, state)]);
+            self.sync(A, &[s], &[]);
+        }
+        let s = self.state("m0", token, &[]);
+        self.sync(A, &[s], &[]);
+        a
+    }
+
     fn tick(&mut self, ms: u64) {
         self.now = self.now + Micros::millis(ms);
         self.leader.dirty = true;
@@ -387,3 +420,114 @@
     let rented: u32 = b.leader.hires.values().map(|(r, ..)| r.count).sum();
     assert_eq!(rented, 1);
 }
+
+/// A task that may fail so often is counted once an attempt, is not started
+/// again before that is recorded, and ends its job by what is recorded alone.
+#[test]
+fn attempts_are_used_up_by_record() {
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    b.job(1, 60, "t", "array", "standard", 2, 2.0);
+    b.edit(1, 61, |s| s.attempts = Some(2));
+    // The change of the record is not a new job: made anew here, as at a start.
+    b.leader.jobs.clear();
+    b.leader.job_changed(JobId(1), &b.ledger, b.now);
+    b.tick(30);
+    let first = b.fail(1, 0);
+    assert_eq!(b.leader.attempts_of(JobId(1), 0), 1, "three reports of one attempt count once");
+    b.tick(2000);
+    assert_eq!(b.attempt(task(1, 0)), None, "not started again before it is recorded");
+    b.save_failures(70);
+    b.tick(2000);
+    let fails = |b: &Bench| {
+        let w = b.leader.writes(&b.ledger, 4000, b.now);
+        w.iter().filter(|w| matches!(w, LeaderWrite::Fail(..))).count()
+    };
+    assert_eq!(fails(&b), 0);
+    // A new leader goes on from the record.
+    let sizes = Sizes::from([("big".into(), Resources::have(8.0, 0.0, 32.0))]);
+    b.leader = Leader::new(context(), TERM + 1, 80, &b.ledger, &sizes, b.now, 1_000_000);
+    b.sync(A, &[], &[]);
+    b.sync(B, &[], &[]);
+    b.tick(1000);
+    b.confirm("m0", &[]);
+    b.tick(30);
+    assert!(b.attempt(task(1, 0)).expect("again") > first);
+    b.fail(1, 0);
+    assert_eq!(fails(&b), 0, "the second failure is not recorded yet");
+    b.tick(5000);
+    assert_eq!(b.attempt(task(1, 0)), None);
+    b.save_failures(90);
+    b.tick(5000);
+    assert_eq!((fails(&b), b.attempt(task(1, 0))), (1, None));
+    // Ended by that record, it is over once and for all, and says why.
+    let end = json!({"end": "aborted", "at": 1_000_000, "why": "attempts used up"});
+    b.ledger.apply(&keys::end(JobId(1)), Some(&end), 95);
+    b.leader.job_changed(JobId(1), &b.ledger, b.now);
+    b.tick(5000);
+    let job = &b.ledger.jobs[&JobId(1)];
+    assert_eq!((job.phase, job.cause.as_deref()), (Phase::Aborted, Some("attempts used up")));
+    assert_eq!((fails(&b), b.attempt(task(1, 0))), (0, None));
+}
+
+/// A change of the number of tasks: what is above is not started, what comes
+/// is, and what was done counts if it is still asked for.
+#[test]
+fn a_job_is_scaled_in_place() {
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    b.job(1, 60, "t", "standing", "prod", 2, 1.0);
+    b.tick(30);
+    let handed = |b: &Bench| b.leader.jobs[&JobId(1)].bound.keys().copied().collect::<Vec<_>>();
+    assert_eq!(handed(&b), [0, 1]);
+    // (tasks from now on, bound after it with no report of an end)
+    for (i, (tasks, want)) in
+        [(4, vec![0, 1, 2, 3]), (1, vec![0, 1, 2, 3]), (3, vec![0, 1, 2, 3])].iter().enumerate()
+    {
+        b.edit(1, 70 + i as u64, |s| s.tasks = *tasks);
+        b.tick(30);
+        assert_eq!(handed(&b), *want, "{tasks}");
+        assert_eq!(b.leader.jobs[&JobId(1)].waiting(), 0, "{tasks}");
+        assert!(b.leader.check_sums().is_ok());
+    }
+    // The one above goes; nothing replaces it until it is asked for again.
+    let a3 = b.attempt(task(1, 3)).unwrap();
+    b.sync(A, &[], &[Outcome { attempt: a3, machine: None }]);
+    b.tick(30);
+    assert_eq!(handed(&b), [0, 1, 2]);
+    b.edit(1, 80, |s| s.tasks = 4);
+    b.tick(30);
+    assert_eq!(handed(&b), [0, 1, 2, 3]);
+}
+
+/// A new version starts only when nothing of the old one is left anywhere.
+#[test]
+fn a_replacement_waits_for_the_end_of_what_it_replaces() {
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    b.job(1, 60, "t", "standing", "prod", 1, 1.0);
+    b.tick(30);
+    let a = b.attempt(task(1, 0)).unwrap();
+    b.sync(A, &[], &[Outcome { attempt: a, machine: Some(m("m0")) }]);
+    let on = b.state("m0", b.token("m0"), &[(task(1, 0), a, TaskState::Running)]);
+    b.sync(A, &[on], &[]);
+    b.job(2, 61, "t", "standing", "prod", 1, 1.0);
+    b.edit(2, 62, |s| s.after = Some(JobId(1)));
+    b.leader.jobs.remove(&JobId(2));
+    b.leader.job_changed(JobId(2), &b.ledger, b.now);
+    let started = |b: &mut Bench| {
+        b.tick(100);
+        b.attempt(task(2, 0)).is_some()
+    };
+    assert!(!started(&mut b), "the old one is active");
+    b.ledger.apply(&keys::end(JobId(1)), Some(&json!({"end": "aborted", "at": 1_000_000})), 70);
+    b.leader.job_changed(JobId(1), &b.ledger, b.now);
+    assert!(!started(&mut b), "its task is still on a machine");
+    let empty = b.state("m0", b.token("m0"), &[]);
+    b.sync(A, &[empty], &[]);
+    assert!(!started(&mut b), "that nothing is left is not recorded");
+    let gone = json!({"end": "aborted", "at": 1_000_000, "gone": true});
+    b.ledger.apply(&keys::end(JobId(1)), Some(&gone), 75);
+    b.leader.job_changed(JobId(1), &b.ledger, b.now);
+    assert!(started(&mut b));
+}
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -281,7 +281,9 @@
         };
         for w in todo {
             let cost = match &w {
-                LeaderWrite::End(id) => 1 + self.mirror.ledger.jobs.get(id).map_or(0, |j| j.chunks.len()),
+                LeaderWrite::End(id) => {
+                    1 + self.mirror.ledger.jobs.get(id).map_or(0, |j| j.chunks.len() + j.failed_stamps.len())
+                }
                 _ => 1,
             };
             if m.writes.len() + cost.min(self.limits.0) > self.limits.0
@@ -292,6 +294,7 @@
             // Progress and clearing up leave room for what users wait for.
             let keep = match w {
                 LeaderWrite::End(_) | LeaderWrite::Machines(_) | LeaderWrite::Hire(_) => 0.0,
+                LeaderWrite::Failures(..) | LeaderWrite::Fail(..) => 0.0,
                 LeaderWrite::Progress(..) | LeaderWrite::Settle(_) => 1.0,
                 LeaderWrite::Forget(_) => 2.0,
             };
@@ -301,16 +304,12 @@
             let room = match &w {
                 LeaderWrite::End(id) => {
                     m.when.push(When { path: keys::end(*id), stamp: 0 });
-                    for c in self
-                        .mirror
-                        .ledger
-                        .jobs
-                        .get(id)
-                        .iter()
-                        .flat_map(|j| j.chunks.keys())
-                        .take(self.limits.0 - 1)
-                    {
-                        m.writes.push(Write::Remove { remove: keys::progress(*id, *c) });
+                    let job = self.mirror.ledger.jobs.get(id);
+                    let progress = job.iter().flat_map(|j| j.chunks.keys()).map(|c| keys::progress(*id, *c));
+                    let failed =
+                        job.iter().flat_map(|j| j.failed_stamps.keys()).map(|c| keys::failed(*id, *c));
+                    for key in progress.chain(failed).take(self.limits.0 - 1) {
+                        m.writes.push(Write::Remove { remove: key });
                     }
                     put(keys::end(*id), json!({"end": "done", "at": self.wall_ms}), &mut m)
                 }
@@ -325,6 +324,25 @@
                     put(key, v, &mut m)
                 }
                 LeaderWrite::Hire(name) => put(keys::HIRE.into(), json!(name), &mut m),
+                LeaderWrite::Failures(id, chunk) => {
+                    let Some(v) = l.failures(*id, *chunk) else { continue };
+                    let job = self.mirror.ledger.jobs.get(id);
+                    let stamp = job.and_then(|j| j.failed_stamps.get(chunk).copied()).unwrap_or(0);
+                    let key = keys::failed(*id, *chunk);
+                    m.when.push(When { path: key.clone(), stamp });
+                    m.when.push(When { path: keys::end(*id), stamp: 0 });
+                    put(key, json!(v), &mut m)
+                }
+                LeaderWrite::Fail(id, index) => {
+                    let Some(job) = self.mirror.ledger.jobs.get(id) else { continue };
+                    // The record as it was judged: a change of it since counts.
+                    m.when.push(When { path: keys::job(*id), stamp: job.stamp });
+                    m.when.push(When { path: keys::end(*id), stamp: 0 });
+                    let n = l.attempts_of(*id, *index);
+                    let why = format!("attempts used up: task {index} failed {n} times");
+                    info!("{id}: {why}");
+                    put(keys::end(*id), json!({"end": "aborted", "at": self.wall_ms, "why": why}), &mut m)
+                }
                 LeaderWrite::Progress(id, chunk) => {
                     let Some(text) = l.progress(*id, *chunk) else { continue };
                     let stamp = self
@@ -343,7 +361,11 @@
                     let Some(job) = self.mirror.ledger.jobs.get(id) else { continue };
                     let key = keys::end(*id);
                     m.when.push(When { path: key.clone(), stamp: job.end_stamp });
-                    put(key, json!({"end": "aborted", "at": job.ended_ms, "gone": true}), &mut m)
+                    let mut v = json!({"end": "aborted", "at": job.ended_ms, "gone": true});
+                    if let Some(why) = &job.cause {
+                        v["why"] = json!(why);
+                    }
+                    put(key, v, &mut m)
                 }
                 LeaderWrite::Forget(key) => {
                     let Some((ids, stamp)) = self.mirror.ledger.records.get(key) else { continue };
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -26,7 +26,9 @@
                 if m != if abort { "POST" } else { "GET" } {
                     return self.out.answer(id, 405, users::error("wrong method"));
                 }
-                match JobId::parse(job) {
+                // Jobs with an id of the service's own can be looked at; they end
+                // by the interface that they came by.
+                match JobId::parse(job).filter(|j| !(abort && j.own())) {
                     None => self.out.answer(id, 404, users::error("no such job")),
                     Some(j) if abort => self.wait(Waiter::Abort(id, j), Micros::millis(3500)),
                     Some(j) => self.wait(Waiter::Poll(id, j), Micros::millis(1500)),
@@ -53,6 +55,10 @@
     /// The answer for a job whose end is known; ends never change.
     pub(super) fn final_answer(&mut self, id: RequestId, job: JobId) -> bool {
         let Some(j) = self.mirror.ledger.jobs.get(&job) else { return false };
+        if let (Phase::Aborted, Some(cause)) = (j.phase, &j.cause) {
+            self.out.answer(id, 200, users::failed_answer(job, cause));
+            return true;
+        }
         let (stage, done) = match j.phase {
             Phase::Active => return false,
             Phase::Done => ("done", j.tasks),
@@ -71,7 +77,7 @@
         };
         let running = self.ctl.running.get(&job).copied().unwrap_or(0);
         let stage = if running > 0 { "running" } else { "queued" };
-        self.out.answer(id, 200, users::job_answer(job, stage, j.done.len(), running));
+        self.out.answer(id, 200, users::job_answer(job, stage, j.done.below(j.tasks), running));
     }
 
     pub(super) fn wait(&mut self, w: Waiter, limit: Micros) {
--- a/crates/nomad/src/translate.rs
+++ b/crates/nomad/src/translate.rs
@@ -153,7 +153,7 @@
     let need = Resources::need(cpus, 0.0, memory_gb);
     if !allowed.kinds.is_empty() {
         let fits = |k: &&MachineKind| Resources::have(k.cpus, 0.0, k.memory_gb).fits(&need);
-        if !allowed.kinds.iter().any(|k| fits(k)) {
+        if !allowed.kinds.iter().any(fits) {
             let most = allowed
                 .kinds
                 .iter()
@@ -203,6 +203,7 @@
         deadline_s: class.deadline_s.filter(|_| job.kind == Kind::Array),
         attempts,
         prefer,
+        after: None,
     };
     Some(Planned { group: g.name.clone(), spec })
 }
--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -53,12 +53,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
 pub struct JobId(pub u64);
 
+/// Ids from here on are given by the service itself, to jobs that came in
+/// another form. No user can submit one: theirs have at most 18 digits.
+pub const OWN_IDS: u64 = 1_000_000_000_000_000_000;
+
 impl JobId {
-    /// Reads the users' form. Only the canonical spelling is an id, so that
+    /// Reads the written form. Only the canonical spelling is an id, so that
     /// two different texts never name one job.
     pub fn parse(s: &str) -> Option<Self> {
         let digits = s.strip_prefix("j-")?;
-        if digits.len() < 6 || digits.len() > 18 || !digits.bytes().all(|b| b.is_ascii_digit()) {
+        if digits.len() < 6 || digits.len() > 20 || !digits.bytes().all(|b| b.is_ascii_digit()) {
             return None;
         }
         if digits.len() > 6 && digits.starts_with('0') {
@@ -66,6 +70,14 @@
         }
         digits.parse().ok().map(JobId)
     }
+    /// Reads an id that a user chose.
+    pub fn of_user(s: &str) -> Option<Self> {
+        JobId::parse(s).filter(|id| !id.own())
+    }
+    /// Whether the service gave it.
+    pub fn own(self) -> bool {
+        self.0 >= OWN_IDS
+    }
 }
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -217,6 +229,10 @@
             ("j--00412", None),
             ("j-+00412", None),
             ("", None),
+            ("j-999999999999999999", Some(999_999_999_999_999_999)),
+            ("j-18446744073709551615", Some(u64::MAX)),
+            ("j-18446744073709551616", None),
+            ("j-100000000000000000000", None),
         ];
         for (text, want) in cases {
             assert_eq!(JobId::parse(text).map(|j| j.0), want, "{text}");
@@ -226,6 +242,22 @@
         }
     }
 
+    #[test]
+    fn no_user_names_one_of_the_services_own_ids() {
+        for (text, user) in [
+            ("j-000412", true),
+            ("j-999999999999999999", true),
+            ("j-1000000000000000000", false),
+            ("j-18446744073709551615", false),
+        ] {
+            assert_eq!(
+                (JobId::of_user(text).is_some(), JobId::parse(text).is_some()),
+                (user, true),
+                "{text}"
+            );
+        }
+    }
+
     #[test]
     fn needs_round_up_and_machines_round_down() {
         assert_eq!(Resources::need(4.0, 0.0, 5.3).mem, 5300);
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -40,7 +40,7 @@
 /// answered 200 whatever else the retry says.
 pub fn ref_of(body: &[u8]) -> Option<JobId> {
     let map: Map<String, Value> = serde_json::from_slice(body).ok()?;
-    JobId::parse(map.get("ref")?.as_str()?)
+    JobId::of_user(map.get("ref")?.as_str()?)
 }
 
 /// Reads and checks a submission; the error is the reason for a 400.
@@ -50,7 +50,7 @@
         return Err("not an object".into());
     }
     let s: Submission = serde_json::from_value(value).map_err(|e| e.to_string())?;
-    let id = JobId::parse(&s.id).ok_or("ref: not of the form j-000412")?;
+    let id = JobId::of_user(&s.id).ok_or("ref: not of the form j-000412")?;
     if s.pieces == 0 || s.pieces > MAX_TASKS {
         return Err(format!("pieces: must be 1 to {MAX_TASKS}"));
     }
@@ -102,6 +102,7 @@
         deadline_s: s.due_s,
         attempts: None,
         prefer: Vec::new(),
+        after: None,
     })
 }
 
@@ -110,6 +111,13 @@
     json!({"ref": id.to_string(), "stage": stage, "done": done, "running": running}).to_string().into_bytes()
 }
 
+/// The state of a job that has failed for good: what its users see, and why.
+pub fn failed_answer(id: JobId, cause: &str) -> Vec<u8> {
+    json!({"ref": id.to_string(), "stage": "aborted", "done": 0, "running": 0, "cause": cause})
+        .to_string()
+        .into_bytes()
+}
+
 /// A short reason.
 pub fn error(reason: &str) -> Vec<u8> {
     json!({ "error": reason }).to_string().into_bytes()
