--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -161,7 +161,12 @@
             .iter()
             .filter(|(_, m)| m.size.minus(m.used).fits(&run.spec.need) && self.open(m, now))
             .filter(|(_, m)| m.kept_for.is_none_or(|(r, until)| run.spec.rank >= r || now >= until))
-            .filter(|(id, _)| run.proven || !run.failed_on.contains(id) || run.failed_on.len() > 3)
+            .filter(|(id, _)| {
+                // Whose attempts are bounded uses them up where there is room:
+                // waiting for another machine would only put off its end.
+                let again = run.proven || run.spec.attempts.is_some() || run.failed_on.len() > 3;
+                again || !run.failed_on.contains(id)
+            })
             .filter(|(_, m)| fleet::zone_ok(&run.spec, &m.zone, zones))
             .filter_map(|(id, m)| {
                 let c = Candidate {
--- a/crates/core/src/node/host.rs
+++ b/crates/core/src/node/host.rs
@@ -1,6 +1,9 @@
 //! What the node does for its guest.
 use super::*;
 
+/// Most keys of one reading.
+const MAX_READ: usize = 2000;
+
 impl Node {
     /// Gives an input to the guest, if there is one, and does what it says.
     pub(super) fn ask_guest(&mut self, input: GuestInput) {
@@ -45,9 +48,8 @@
             GuestOutput::Close(id) => self.out.items.push(Output::Close(id)),
             GuestOutput::Prove(t) => self.wait(Waiter::Guest(t), Micros::millis(1500)),
             GuestOutput::Read(t, prefix) => {
-                let path = format!("/store?prefix={}{prefix}&limit=1000", keys::GUEST);
-                let id = self.state("GET", path, Vec::new(), Micros::millis(2500));
-                self.calls.insert(id, Purpose::GuestRead(t));
+                let none = Listing { pairs: Vec::new(), truncated: false, ledger: 0 };
+                self.read_page(t, format!("{}{prefix}", keys::GUEST), none);
             }
             GuestOutput::Write { ticket, multi, as_leader } => {
                 if self.users.writes.len() >= MAX_WAITING {
@@ -60,6 +62,29 @@
         }
     }
 
+    fn read_page(&mut self, t: Ticket, prefix: String, so_far: Listing) {
+        let from = so_far.pairs.last().map_or(String::new(), |p| format!("&from={}", p.path));
+        let path = format!("/store?prefix={prefix}{from}&limit=1000");
+        let id = self.state("GET", path, Vec::new(), Micros::millis(2500));
+        self.calls.insert(id, Purpose::GuestRead(t, prefix, so_far));
+    }
+
+    /// A page of what the guest reads came; it is told when all are there.
+    pub(super) fn guest_page(&mut self, t: Ticket, prefix: String, mut so_far: Listing, result: CallResult) {
+        let page: Option<Listing> = match &result {
+            CallResult::Answer { status: 200, body } => serde_json::from_slice(body).ok(),
+            _ => None,
+        };
+        let Some(page) = page else { return self.ask_guest(GuestInput::Called(t, CallResult::NotSent)) };
+        so_far.pairs.extend(page.pairs);
+        so_far.ledger = page.ledger;
+        if page.truncated && so_far.pairs.len() < MAX_READ {
+            return self.read_page(t, prefix, so_far);
+        }
+        let body = serde_json::to_vec(&so_far).unwrap_or_default();
+        self.ask_guest(GuestInput::Called(t, CallResult::Answer { status: 200, body }));
+    }
+
     /// The state service can't prove that the mirror is up to date.
     pub(super) fn cant_ask(&mut self, w: &Waiter) {
         match w.asker() {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -66,14 +66,27 @@
 /// What a call was for.
 #[derive(Debug)]
 enum Purpose {
-    List { from: Option<String>, first: Option<u64>, ledger: Box<Ledger> },
+    List {
+        from: Option<String>,
+        first: Option<u64>,
+        ledger: Box<Ledger>,
+    },
     Follow,
     Barrier(Vec<(Waiter, Micros)>),
     Write(UserWrite),
-    GuestRead(Ticket),
-    GrantNew { asked: Micros },
-    TakeKey { asked: Micros, lease: u64, term: u64 },
-    Renew { sent: Micros },
+    /// Pages of a guest's reading: the prefix, and what came so far.
+    GuestRead(Ticket, String, Listing),
+    GrantNew {
+        asked: Micros,
+    },
+    TakeKey {
+        asked: Micros,
+        lease: u64,
+        term: u64,
+    },
+    Renew {
+        sent: Micros,
+    },
     EndLease,
     Mail,
     LeaderWrites(u64, Vec<LeaderWrite>),
@@ -237,7 +250,7 @@
             }
             Purpose::Barrier(waiting) => self.barrier_done(waiting, result),
             Purpose::Write(w) => self.user_written(w, &result),
-            Purpose::GuestRead(t) => self.ask_guest(GuestInput::Called(t, result)),
+            Purpose::GuestRead(t, prefix, so_far) => self.guest_page(t, prefix, so_far, result),
             Purpose::GrantNew { asked } => {
                 let lease = match &result {
                     CallResult::Answer { status: 200, body } => serde_json::from_slice::<Grant>(body).ok(),
--- a/crates/nomad/src/lib.rs
+++ b/crates/nomad/src/lib.rs
@@ -3,7 +3,8 @@
 //! A file goes through [`hcl`] or [`json`] to a [`tree`], through [`model`],
 //! which checks it against the [`table`] of the specification, and through
 //! [`translate`], which finds its class and makes native jobs of it. Nothing
-//! here does input or output.
+//! here does input or output. [`service`] is the interface, a state machine
+//! beside the scheduler.
 #![warn(missing_docs)]
 pub mod cron;
 pub mod eval;
@@ -11,6 +12,7 @@
 pub mod hcl;
 pub mod json;
 pub mod model;
+pub mod service;
 pub mod table;
 pub mod translate;
 pub mod tree;
--- /dev/null
+++ b/crates/nomad/src/service/reconcile.rs
@@ -0,0 +1,179 @@
+//! The leader makes the native jobs be what the heads say.
+//!
+//! Every write is conditioned on the leader's key, on the head that asks for
+//! it and on the record that it changes: whatever comes late, or from a leader
+//! that is none any more, fails.
+use super::records::{Head, JobKey, names};
+use super::register::put;
+use super::{Known, Pending, Service, write};
+use gorseshore_core::guest::{GuestOutput, Host};
+use gorseshore_core::jobs::{Phase, description, job_value, keys};
+use gorseshore_protocol::ids::{JobId, Micros};
+use gorseshore_protocol::state::{Multi, When, Write};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+/// Writes of the leader under way.
+const MOST: usize = 8;
+/// Parts that no head names are cleared up after this: longer than a
+/// registration may take.
+const ORPHANED: Micros = Micros::secs(120);
+const SWEEP: Micros = Micros::secs(30);
+
+impl Service {
+    /// Looks at the jobs that changed, if this node leads.
+    pub(crate) fn lead(&mut self, host: &Host<'_>) {
+        if !host.leads || !host.loaded {
+            self.led = false;
+            self.busy.clear();
+            return;
+        }
+        if !std::mem::replace(&mut self.led, true) {
+            self.dirty = self.heads.keys().map(|k| (k.clone(), Micros(0))).collect();
+        }
+        let due: Vec<JobKey> = self
+            .dirty
+            .iter()
+            .filter(|(k, at)| **at <= host.now && !self.busy.contains(*k))
+            .map(|(k, _)| k.clone())
+            .take(MOST.saturating_sub(self.busy.len()))
+            .collect();
+        for key in due {
+            self.dirty.remove(&key);
+            if let Some(k) = self.heads.get(&key).cloned() {
+                self.reconcile(host, &key, &k);
+            }
+        }
+        self.launch(host);
+        if host.now.since(self.swept) >= SWEEP {
+            self.swept = host.now;
+            self.sweep(host);
+        }
+    }
+
+    fn reconcile(&mut self, host: &Host<'_>, key: &JobKey, known: &Known) {
+        let head = &known.head;
+        let mut m = Multi {
+            when: vec![When { path: format!("{}{}", keys::GUEST, names::head(key)), stamp: known.stamp }],
+            writes: Vec::new(),
+        };
+        // The leader's key is a condition more.
+        let room =
+            |m: &Multi| m.writes.len() < host.changes_at_once && m.when.len() + 3 < host.changes_at_once * 4;
+        let over: Vec<JobId> = match head.stop || head.template() {
+            true => head.natives().collect(),
+            false => head.old.iter().copied().map(JobId).collect(),
+        };
+        let mut left = false;
+        for id in over {
+            let Some(job) = host.ledger.jobs.get(&id) else { continue };
+            left |= job.phase == Phase::Active;
+            if job.phase == Phase::Active && room(&m) {
+                m.when.push(When { path: keys::end(id), stamp: 0 });
+                m.when.push(When { path: keys::job(id), stamp: job.stamp });
+                let v = json!({"end": "aborted", "at": host.wall_ms});
+                m.writes.push(Write::Put { put: keys::end(id), v, hold: None });
+            }
+        }
+        if !head.stop && !head.template() {
+            for g in &head.groups {
+                let id = JobId(g.job);
+                match host.ledger.jobs.get(&id) {
+                    None if g.count == 0 => {}
+                    None => {
+                        let Some(content) = self.contents.get(&head.nonce).cloned() else {
+                            // What it is made of has to be read first.
+                            self.busy.insert(key.clone());
+                            let ticket = self.ticket(Pending::Load(key.clone(), head.nonce.clone()));
+                            return self.out.push(GuestOutput::Read(ticket, names::parts(key, &head.nonce)));
+                        };
+                        let spec = content.specs.get(&g.name).and_then(|r| description(id, r));
+                        let Some(mut spec) = spec else {
+                            log::error!(
+                                "{} {}: group {} has no description",
+                                head.namespace,
+                                head.id,
+                                g.name
+                            );
+                            continue;
+                        };
+                        spec.tasks = g.count;
+                        spec.after = head.old.iter().copied().map(JobId).collect();
+                        if room(&m) {
+                            m.when.push(When { path: keys::job(id), stamp: 0 });
+                            m.when.push(When { path: keys::end(id), stamp: 0 });
+                            let v = job_value(&spec, head.at);
+                            m.writes.push(Write::Put { put: keys::job(id), v, hold: None });
+                        }
+                    }
+                    Some(job) if job.phase == Phase::Active && job.tasks != g.count => {
+                        if let (Some(spec), true) = (&job.spec, room(&m)) {
+                            let mut spec = gorseshore_protocol::job::JobSpec::clone(spec);
+                            spec.tasks = g.count;
+                            m.when.push(When { path: keys::job(id), stamp: job.stamp });
+                            m.when.push(When { path: keys::end(id), stamp: 0 });
+                            let v = job_value(&spec, job.submitted_ms);
+                            m.writes.push(Write::Put { put: keys::job(id), v, hold: None });
+                        }
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+        if m.writes.is_empty() && head.purge && !left {
+            m.writes.push(Write::Remove { remove: format!("{}{}", keys::GUEST, names::head(key)) });
+            if self.launches.contains_key(key) {
+                m.writes.push(Write::Remove { remove: format!("{}{}", keys::GUEST, names::launch(key)) });
+            }
+        }
+        if m.writes.is_empty() {
+            return;
+        }
+        self.busy.insert(key.clone());
+        let ticket = self.ticket(Pending::Reconcile(key.clone()));
+        self.out.push(write(ticket, m, true));
+    }
+
+    /// Removes parts that no head names: of registrations that were not
+    /// finished, of versions that are no longer kept, of jobs that are gone.
+    fn sweep(&mut self, host: &Host<'_>) {
+        let named = |heads: &BTreeMap<JobKey, Known>, name: &str| {
+            let mut s = name.split('/');
+            let (Some(key), Some(nonce)) = (s.next(), s.next()) else { return false };
+            heads.get(&JobKey(key.to_owned())).is_some_and(|k: &Known| Head::refers(&k.head, nonce))
+        };
+        let mut gone = Vec::new();
+        for (name, since) in &mut self.parts {
+            if named(&self.heads, name) {
+                *since = Micros(0);
+            } else if *since == Micros(0) {
+                *since = host.now;
+            } else if host.now.since(*since) > ORPHANED {
+                gone.push(name.clone());
+            }
+        }
+        gone.truncate(host.changes_at_once);
+        if gone.is_empty() {
+            return;
+        }
+        let remove = |n: String| Write::Remove { remove: format!("{}p/{n}", keys::GUEST) };
+        let writes = gone.into_iter().map(remove).collect();
+        let ticket = self.ticket(Pending::Sweep);
+        self.out.push(write(ticket, Multi { when: Vec::new(), writes }, true));
+    }
+
+    /// Records that a launch was passed over.
+    pub(crate) fn pass_over(&mut self, key: &JobKey, known: &Known, ms: u64) {
+        let stamp = self.launches.get(key).map_or(0, |l| l.1);
+        let m = Multi {
+            when: vec![
+                When { path: format!("{}{}", keys::GUEST, names::head(key)), stamp: known.stamp },
+                When { path: format!("{}{}", keys::GUEST, names::launch(key)), stamp },
+            ],
+            writes: vec![put(&names::launch(key), json!(ms))],
+        };
+        self.busy.insert(key.clone());
+        let ticket = self.ticket(Pending::Launch(key.clone()));
+        self.out.push(write(ticket, m, true));
+    }
+}
--- a/crates/nomad/src/service/records.rs
+++ b/crates/nomad/src/service/records.rs
@@ -134,6 +134,9 @@
     pub nonce: String,
     /// Time of day of this registration in milliseconds.
     pub at: u64,
+    /// Revision of its first registration, once there is a second one.
+    #[serde(rename = "ci", default, skip_serializing_if = "Option::is_none")]
+    pub created: Option<u64>,
     /// `service` or `batch`.
     #[serde(rename = "k")]
     pub kind: String,
@@ -143,6 +146,9 @@
     /// Stopped by its users.
     #[serde(rename = "s", default)]
     pub stop: bool,
+    /// Its head goes once nothing of it is left.
+    #[serde(rename = "pg", default)]
+    pub purge: bool,
     /// Class.
     #[serde(rename = "cl")]
     pub class: String,
@@ -330,7 +336,10 @@
         let text = r#"{"ns":"default","id":"desk","nm":"desk","v":3,"h":"aa","hc":"bb","w":"f00d","at":5,
             "k":"service","pr":50,"cl":"service","t":"florists","gr":[{"g":"api","j":1000000000000000007,"n":4}]}"#;
         let h: Head = serde_json::from_str(text).unwrap();
-        assert_eq!((h.version, h.groups[0].job, h.stop, h.old.len()), (3, 1_000_000_000_000_000_007, false, 0));
+        assert_eq!(
+            (h.version, h.groups[0].job, h.stop, h.old.len()),
+            (3, 1_000_000_000_000_000_007, false, 0)
+        );
         let again: Head = serde_json::from_value(json!(h)).unwrap();
         assert_eq!(again, h);
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,8 @@
 //! Stand-ins for the outside systems, written from the protocol: the state
-//! service and the worker as state machines, for worlds in memory.
+//! service and the worker as state machines, for worlds in memory, and a whole
+//! site of them on loopback round the real controllers.
 #![warn(missing_docs)]
+pub mod net;
+pub mod site;
 pub mod state;
 pub mod worker;
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,88 @@
+//! `gorseshore-standins site`: a whole site on loopback, to try things.
+use clap::{Args, Parser, Subcommand};
+use gorseshore_standins::site::{Options, Site};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins for what gorseshore needs, on loopback.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Start controllers, state service, cloud and workers; nothing is kept.
+    Site(SiteArgs),
+}
+
+#[derive(Args)]
+struct SiteArgs {
+    /// Controllers.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=15))]
+    controllers: u8,
+    /// The operators' settings (protobuf text format).
+    #[arg(long, value_name = "FILE")]
+    operator_config: Option<PathBuf>,
+    /// Seconds that a second of a task's estimate takes.
+    #[arg(long, default_value_t = 0.1)]
+    pace: f64,
+    /// End after so many seconds instead of at the end of standard input.
+    #[arg(long, value_name = "SECONDS")]
+    seconds: Option<u64>,
+}
+
+fn main() -> ExitCode {
+    let Verb::Site(args) = Cli::parse().verb;
+    let operator = match &args.operator_config {
+        None => String::new(),
+        Some(p) => match std::fs::read_to_string(p) {
+            Ok(t) => t,
+            Err(e) => {
+                eprintln!("{}: {e}", p.display());
+                return ExitCode::from(2);
+            }
+        },
+    };
+    gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
+    let options = Options {
+        controllers: args.controllers as usize,
+        operator,
+        pace: args.pace.clamp(0.001, 1000.0),
+        ..Options::default()
+    };
+    let site = match Site::start(&options) {
+        Ok(s) => s,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    if !site.ready(Duration::from_secs(20)) {
+        eprintln!("the controllers were not ready within 20 s");
+        return ExitCode::FAILURE;
+    }
+    for (i, a) in site.users.iter().enumerate() {
+        println!("controller n{i}: http://{a}");
+    }
+    for (i, a) in site.nomad.iter().enumerate() {
+        println!("Nomad's interface of n{i}: http://{a}/v1/");
+    }
+    println!("state service: http://{}", site.state);
+    println!("cloud: http://{}", site.cloud);
+    match args.seconds {
+        Some(s) => {
+            println!("ready; ends after {s} s");
+            std::thread::sleep(Duration::from_secs(s));
+        }
+        None => {
+            println!("ready; Enter or the end of input ends it");
+            let _ = std::io::stdin().read_line(&mut String::new());
+        }
+    }
+    println!("ended; nothing is kept");
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/standins/src/site.rs
@@ -0,0 +1,456 @@
+//! A whole site on loopback in one process: state service, cloud and workers
+//! as stand-ins, and the real controllers in threads of their own. Nothing is
+//! kept when the process ends.
+use crate::net::{Handler, call, free_address, serve};
+use crate::state::{Outcome, State};
+use crate::worker::{Facts, Machine};
+use gorseshore_core::jobs::description;
+use gorseshore_nomad::service::Service;
+use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts, Rental, Rentals};
+use gorseshore_protocol::ids::{JobId, TaskId};
+use gorseshore_protocol::job::Kind;
+use gorseshore_protocol::workers::{CheckinAnswer, Direct};
+use gorseshore_settings::{Operator, Platform};
+use gorseshore_shell::GuestDoor;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a site is made of.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Controllers; none if they are processes of their own (see [`Site::report_to`]).
+    pub controllers: usize,
+    /// The operators' settings; the address of the interface is replaced.
+    pub operator: String,
+    /// Teams: name and most CPUs, 0 for no limit.
+    pub teams: Vec<(String, f64)>,
+    /// Seconds that a second of a task's estimate takes.
+    pub pace: f64,
+    /// Changes a second of the state service.
+    pub changes: f64,
+    /// Longest value in KiB, and most changes at once.
+    pub value_kb: f64,
+    /// Most changes in a transaction.
+    pub changes_at_once: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            controllers: 3,
+            operator: String::new(),
+            teams: vec![("default".into(), 0.0)],
+            pace: 0.1,
+            changes: 200.0,
+            value_kb: 16.0,
+            changes_at_once: 24,
+        }
+    }
+}
+
+const ZONES: [&str; 2] = ["east", "west"];
+/// A worker's lease.
+const LEASE: u64 = 12_000_000;
+
+/// A machine that was rented.
+struct Rented {
+    machine: Arc<Mutex<Machine>>,
+    build: String,
+    zone: String,
+    spot: bool,
+    addr: SocketAddr,
+    since: Instant,
+}
+
+/// What all parts of the site share.
+struct Shared {
+    start: Instant,
+    state: Mutex<State>,
+    machines: Mutex<BTreeMap<String, Rented>>,
+    hires: Mutex<BTreeMap<String, Vec<String>>>,
+    nodes: Mutex<Vec<SocketAddr>>,
+    pace: f64,
+}
+
+/// A running site.
+pub struct Site {
+    shared: Arc<Shared>,
+    /// Users' addresses of the controllers.
+    pub users: Vec<SocketAddr>,
+    /// Addresses of Nomad's interface; empty if it is off.
+    pub nomad: Vec<SocketAddr>,
+    /// The state service.
+    pub state: SocketAddr,
+    /// The cloud.
+    pub cloud: SocketAddr,
+}
+
+/// What went wrong at the start.
+#[derive(Debug, thiserror::Error)]
+pub enum SiteError {
+    /// A socket could not be had.
+    #[error("no socket on loopback: {0}")]
+    Io(#[from] std::io::Error),
+    /// The operators' settings are faulty.
+    #[error("{0}")]
+    Settings(#[from] gorseshore_settings::SettingsError),
+}
+
+impl Shared {
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64 + 1_000_000
+    }
+
+    /// What a worker knows of a task: its job's record.
+    fn facts(&self, piece: &str) -> Option<Facts> {
+        let task = TaskId::parse(piece)?;
+        let record = self.state.lock().ok()?.value(&format!("g/j/{}", task.job))?;
+        let spec = description(JobId(task.job.0), &record)?;
+        if task.index >= spec.tasks {
+            return None;
+        }
+        let run = (spec.estimate_s * self.pace * 1e6).max(50_000.0) as u64;
+        Some(Facts {
+            cpus: spec.need.cpu as f64 / 1000.0,
+            run_us: (spec.kind == Kind::Array).then_some(run),
+            tasks: spec.tasks,
+            save_us: None,
+            fails: spec.image.contains("fails"),
+        })
+    }
+}
+
+impl Site {
+    /// Starts it; returns once the addresses are known.
+    pub fn start(o: &Options) -> Result<Site, SiteError> {
+        let shared = Arc::new(Shared {
+            start: Instant::now(),
+            state: Mutex::new(State::limited(o.changes, o.changes_at_once, o.value_kb)),
+            machines: Mutex::new(BTreeMap::new()),
+            hires: Mutex::new(BTreeMap::new()),
+            nodes: Mutex::new(Vec::new()),
+            pace: o.pace,
+        });
+        let state = state_service(&shared)?;
+        let cloud = cloud(&shared)?;
+        let n = o.controllers;
+        let mut operator = Operator::parse(&o.operator)?;
+        let (mut users, mut cluster, mut nomad) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..n {
+            users.push(free_address()?);
+            cluster.push(free_address()?);
+            nomad.push(free_address()?);
+        }
+        for i in 0..n {
+            let mut text = format!(
+                "host_name = \"n{i}\"\ndomain = \"{}\"\npublic_addr = \"{}\"\ncluster_listen = \"{}\"\n",
+                ZONES[i % 2],
+                users[i],
+                cluster[i]
+            );
+            for j in (0..n).filter(|j| *j != i) {
+                text += &format!(
+                    "[[peers]]\nhost_name = \"n{j}\"\ndomain = \"{}\"\npeer_addr = \"{}\"\n",
+                    ZONES[j % 2],
+                    cluster[j]
+                );
+            }
+            text += &format!(
+                "[endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[deployment]\nzones = [\"east\", \"west\"]\n"
+            );
+            for (name, cpus) in &o.teams {
+                text += &format!("[[deployment.teams]]\nname = \"{name}\"\ncpus_max = {cpus:.3}\n");
+            }
+            text += &format!(
+                "[deployment.workers]\nreport_s = 2.0\nlease_s = 12.0\ncancel_s = 30.0\n\
+                 [deployment.state]\nrps = 2000.0\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n\
+                 [deployment.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n",
+                o.changes, o.value_kb, o.changes_at_once
+            );
+            let platform = Platform::parse(&text)?;
+            let guest = operator.nomad.as_mut().map(|s| {
+                s.listen = Some(nomad[i]);
+                (s.clone(), nomad[i])
+            });
+            let operator = operator.clone();
+            std::thread::spawn(move || {
+                let door = guest.map(|(settings, listen)| GuestDoor {
+                    guest: Box::new(Service::new(settings, fastrand::u64(..))),
+                    listen,
+                });
+                if let Err(e) = gorseshore_shell::run(platform, operator, door) {
+                    log::error!("controller {i}: {e}");
+                }
+            });
+        }
+        if let Ok(mut nodes) = shared.nodes.lock() {
+            nodes.clone_from(&users);
+        }
+        if operator.nomad.is_none() {
+            nomad.clear();
+        }
+        Ok(Site { shared, users, nomad, state, cloud })
+    }
+
+    /// Waits until every controller is ready; false after `limit`.
+    pub fn ready(&self, limit: Duration) -> bool {
+        let start = Instant::now();
+        loop {
+            let up = |a: &SocketAddr| call(*a, "GET", "/ready", "").is_some_and(|r| r.0 == 200);
+            if self.users.iter().all(up) {
+                return true;
+            }
+            if start.elapsed() > limit {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Names the controllers that workers report to.
+    pub fn report_to(&self, nodes: &[SocketAddr]) {
+        if let Ok(mut n) = self.shared.nodes.lock() {
+            *n = nodes.to_vec();
+        }
+    }
+
+    /// Switches the state service off (503 to everybody) or on again.
+    pub fn state_down(&self, down: bool) {
+        let now = self.shared.now();
+        if let Ok(mut s) = self.shared.state.lock() {
+            match down {
+                true => s.down = true,
+                false => s.recover(now),
+            }
+        }
+    }
+
+    /// Keys of the state service with a prefix, as they are.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.shared.state.lock().map(|s| s.names(prefix)).unwrap_or_default()
+    }
+
+    /// Tasks on machines now: names as `j-000412/3`.
+    pub fn running(&self) -> Vec<String> {
+        let Ok(machines) = self.shared.machines.lock() else { return Vec::new() };
+        let on = |r: &Rented| {
+            let m = r.machine.lock().ok()?;
+            Some(m.tasks.iter().filter(|t| t.on()).map(|t| t.name.clone()).collect::<Vec<_>>())
+        };
+        machines.values().filter_map(on).flatten().collect()
+    }
+}
+
+fn state_service(shared: &Arc<Shared>) -> std::io::Result<SocketAddr> {
+    let shared = shared.clone();
+    serve(Arc::new(move |method, path, body| {
+        let fault = || (500, Vec::new());
+        let first = match shared.state.lock() {
+            Ok(mut s) => s.request(method, path, body, shared.now()),
+            Err(_) => return fault(),
+        };
+        match first {
+            Outcome::Answer(status, body) => (status, body),
+            Outcome::Wait { prefix, from, until } => loop {
+                {
+                    let Ok(mut s) = shared.state.lock() else { return fault() };
+                    s.expire(shared.now());
+                    if !s.down {
+                        if let Some(news) = s.news(&prefix, from) {
+                            return (200, news);
+                        }
+                        if shared.now() > until {
+                            return (200, s.no_news());
+                        }
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(3));
+            },
+        }
+    }))
+}
+
+fn flavors() -> Vec<Flavor> {
+    let f = |sku: &str, cpus: f64, hourly| Flavor {
+        sku: sku.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 40.0,
+        pull_gb_per_s: 1.0,
+        hourly,
+        spot_price: Some(hourly * 0.4),
+        boot_s: 0.3,
+        yards: ZONES.iter().map(|z| (*z).to_owned()).collect(),
+    };
+    vec![f("small", 4.0, 0.4), f("big", 16.0, 1.5)]
+}
+
+fn cloud(shared: &Arc<Shared>) -> std::io::Result<SocketAddr> {
+    let shared = shared.clone();
+    let handler: Handler = Arc::new(move |method, path, body| {
+        let (Ok(mut machines), Ok(mut hires)) = (shared.machines.lock(), shared.hires.lock()) else {
+            return (500, Vec::new());
+        };
+        let answer = match (method, path.split('?').next().unwrap_or("")) {
+            ("GET", "/flavors") => serde_json::to_vec(&Flavors { builds: flavors() }),
+            ("POST", "/rentals") => {
+                let Ok(h) = serde_json::from_slice::<Hire>(body) else { return (400, Vec::new()) };
+                if let Some(hosts) = hires.get(&h.hire) {
+                    return (200, serde_json::to_vec(&Hosts { hosts: hosts.clone() }).unwrap_or_default());
+                }
+                let mut hosts = Vec::new();
+                for _ in 0..h.number.min(50) {
+                    let name =
+                        format!("host-{:06}", hires.values().map(Vec::len).sum::<usize>() + hosts.len());
+                    if let Ok(r) = start_machine(&name, &h, &shared) {
+                        machines.insert(name.clone(), r);
+                        hosts.push(name);
+                    }
+                }
+                hires.insert(h.hire, hosts.clone());
+                serde_json::to_vec(&Hosts { hosts })
+            }
+            ("POST", "/rentals/delete") => {
+                let Ok(h) = serde_json::from_slice::<Hosts>(body) else { return (400, Vec::new()) };
+                for name in h.hosts {
+                    if let Some(r) = machines.remove(&name)
+                        && let Ok(mut m) = r.machine.lock()
+                    {
+                        // Off for good.
+                        m.hung_until = u64::MAX;
+                        m.tasks.clear();
+                    }
+                }
+                return (200, b"{}".to_vec());
+            }
+            ("GET", "/rentals") => {
+                let from = path.split_once("from=").map_or("", |x| x.1.split('&').next().unwrap_or(""));
+                let later = machines.iter().filter(|(name, _)| name.as_str() > from);
+                let hosts: Vec<Rental> = later
+                    .take(500)
+                    .map(|(name, r)| Rental {
+                        name: name.clone(),
+                        addr: r.addr.to_string(),
+                        build: r.build.clone(),
+                        yard: r.zone.clone(),
+                        loaners: r.spot,
+                        stage: "running".into(),
+                        held_s: r.since.elapsed().as_secs_f64(),
+                    })
+                    .collect();
+                let truncated = hosts.len() == 500;
+                serde_json::to_vec(&Rentals { hosts, truncated })
+            }
+            _ => return (404, Vec::new()),
+        };
+        (200, answer.unwrap_or_default())
+    });
+    serve(handler)
+}
+
+/// Starts a machine: it serves `/do` and `/status`, and reports.
+fn start_machine(name: &str, h: &Hire, shared: &Arc<Shared>) -> std::io::Result<Rented> {
+    let cpus = flavors().iter().find(|f| f.sku == h.build).map_or(1.0, |f| f.cpus);
+    let machine = Machine {
+        name: name.to_owned(),
+        build: h.build.clone(),
+        zone: h.yard.clone(),
+        spot: h.loaners,
+        cpus,
+        up_at: 0,
+        hung_until: 0,
+        cut_until: 0,
+        sick: false,
+        shift: 1,
+        tally: 0,
+        baton: 0,
+        tasks: Vec::new(),
+        report_to: 0,
+        next_report: 0,
+        open: None,
+        lease_from: shared.now(),
+        last_sent: 0,
+        changed: false,
+    };
+    let machine = Arc::new(Mutex::new(machine));
+    let (direct, at) = (machine.clone(), shared.clone());
+    let addr = serve(Arc::new(move |_, path, body| {
+        let Ok(mut m) = direct.lock() else { return (500, Vec::new()) };
+        if m.hung_until > 0 {
+            // Deleted: it answers nobody.
+            return (503, Vec::new());
+        }
+        if path == "/status" {
+            return (200, serde_json::to_vec(&m.report()).unwrap_or_default());
+        }
+        let Ok(d) = serde_json::from_slice::<Direct>(body) else { return (400, Vec::new()) };
+        m.direct(&d, &|piece| at.facts(piece), at.now())
+    }))?;
+    let (reporter, at) = (machine.clone(), shared.clone());
+    std::thread::spawn(move || report(&reporter, &at, addr));
+    Ok(Rented {
+        machine,
+        build: h.build.clone(),
+        zone: h.yard.clone(),
+        spot: h.loaners,
+        addr,
+        since: Instant::now(),
+    })
+}
+
+/// Reports to one controller after the other, as the protocol says.
+fn report(machine: &Mutex<Machine>, shared: &Shared, addr: SocketAddr) {
+    let mut to = 0;
+    let mut last = 0;
+    loop {
+        std::thread::sleep(Duration::from_millis(40));
+        let now = shared.now();
+        let body = {
+            let Ok(mut m) = machine.lock() else { return };
+            if m.hung_until > 0 {
+                return;
+            }
+            m.check_lease(now, LEASE);
+            m.advance(&|piece| shared.facts(piece), now);
+            let due = now >= last + 2_000_000 || m.changed && now >= last + 500_000;
+            if !due {
+                continue;
+            }
+            m.changed = false;
+            let mut r = m.report();
+            r.addr = addr.to_string();
+            serde_json::to_string(&r).unwrap_or_default()
+        };
+        last = now;
+        let nodes = shared.nodes.lock().map(|n| n.clone()).unwrap_or_default();
+        if nodes.is_empty() {
+            continue;
+        }
+        let answer = call(nodes[to % nodes.len()], "POST", "/checkin", &body);
+        let Ok(mut m) = machine.lock() else { return };
+        match answer {
+            Some((200, v)) => {
+                if let Ok(a) = serde_json::from_value::<CheckinAnswer>(v)
+                    && a.baton >= m.baton
+                {
+                    m.changed |= a.baton > m.baton;
+                    m.baton = a.baton;
+                    m.lease_from = now;
+                    m.execute(&a.orders, &|piece| shared.facts(piece), shared.now());
+                }
+            }
+            Some((421, v)) => {
+                let named = v["foreman"].as_str().and_then(|s| s[1..].parse::<usize>().ok());
+                to = named.filter(|n| *n != to).unwrap_or(to + 1) % nodes.len();
+                last = now.saturating_sub(1_800_000);
+            }
+            _ => {
+                to = (to + 1) % nodes.len();
+                last = now.saturating_sub(1_000_000);
+            }
+        }
+    }
+}
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -99,6 +99,16 @@
         serde_json::to_vec(&News { ledger: self.ledger, news }).unwrap()
     }
 
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        self.keys.get(key).map(|e| e.value.clone())
+    }
+
+    /// Keys with a prefix.
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        self.keys.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
+
     /// The empty answer of a watch whose time is over.
     pub fn no_news(&self) -> Vec<u8> {
         self.news_body(Vec::new())
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -84,6 +84,8 @@
     pub tasks: u32,
     /// Time to save; none if the task never saves.
     pub save_us: Option<u64>,
+    /// It fails instead of completing.
+    pub fails: bool,
 }
 
 impl Machine {
@@ -199,13 +201,14 @@
         let mut started = Vec::new();
         for t in &mut self.tasks {
             let f = facts(&t.name);
+            let fails = f.as_ref().is_some_and(|f| f.fails);
             let next = match t.stage {
                 Stage::Fetching(at) if now >= at => {
                     started.push(t.name.clone());
                     Stage::Running(f.and_then(|f| f.run_us).map_or(u64::MAX, |r| now + r))
                 }
                 Stage::Running(_) if self.sick => Stage::Exited("error"),
-                Stage::Running(end) if now >= end => Stage::Exited("done"),
+                Stage::Running(end) if now >= end => Stage::Exited(if fails { "error" } else { "done" }),
                 Stage::Saving(end) if now >= end => Stage::Exited("halted"),
                 s => s,
             };
--- a/src/main.rs
+++ b/src/main.rs
@@ -71,7 +71,12 @@
         return ExitCode::SUCCESS;
     }
     gorseshore_shell::logger::start(operator.log_format);
-    match gorseshore_shell::run(platform, operator, None) {
+    let guest = operator.nomad.clone().and_then(|n| {
+        let listen = n.listen?;
+        let guest = Box::new(gorseshore_nomad::service::Service::new(n, fastrand::u64(..)));
+        Some(gorseshore_shell::GuestDoor { guest, listen })
+    });
+    match gorseshore_shell::run(platform, operator, guest) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
--- /dev/null
+++ b/tests/nomad.rs
@@ -0,0 +1,358 @@
+//! Nomad's interface against real controllers on loopback.
+use gorseshore_standins::net::{Told, ask};
+use gorseshore_standins::site::{Options, Site};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = include_str!("../deploy/nomad.txtpb");
+
+fn site(options: Options) -> Site {
+    let s = Site::start(&options).unwrap();
+    assert!(s.ready(Duration::from_secs(30)), "not ready");
+    s
+}
+
+fn options() -> Options {
+    Options { operator: SETTINGS.into(), pace: 0.01, ..Options::default() }
+}
+
+fn get(a: SocketAddr, path: &str) -> Told {
+    ask(a, "GET", path, "", "", Duration::from_secs(30)).unwrap_or_else(|| panic!("GET {path}: no answer"))
+}
+
+fn send(a: SocketAddr, method: &str, path: &str, body: &Value) -> Told {
+    ask(a, method, path, "", &body.to_string(), Duration::from_secs(40))
+        .unwrap_or_else(|| panic!("{method} {path}: no answer"))
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < Duration::from_secs(40), "{what}: not within 40 s");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+fn job(id: &str, kind: &str, count: u32, image: &str) -> Value {
+    json!({"Job": {"ID": id, "Name": id, "Type": kind, "TaskGroups": [{"Name": "g", "Count": count,
+        "RestartPolicy": {"Attempts": 1, "Mode": "fail"}, "ReschedulePolicy": {"Attempts": 0, "Unlimited": kind == "service"},
+        "Tasks": [{"Name": "t", "Driver": "docker", "Config": {"image": image},
+            "Resources": {"CPU": 1000, "MemoryMB": 256}}]}]}})
+}
+
+fn status(a: SocketAddr, id: &str) -> Value {
+    get(a, &format!("/v1/job/{id}")).json()["Status"].clone()
+}
+
+fn summary(a: SocketAddr, id: &str) -> Value {
+    get(a, &format!("/v1/job/{id}/summary")).json()["Summary"]["g"].clone()
+}
+
+/// The life of jobs by the interface: register, watch, scale, replace, stop,
+/// purge, dispatch; and what is refused, on whatever controller it is asked.
+#[test]
+fn jobs_live_by_the_interface() {
+    let s = site(options());
+    let (a, b) = (s.nomad[0], s.nomad[1]);
+    until("types known", || {
+        send(a, "POST", "/v1/validate/job", &job("x", "service", 1, "i")).json()["Error"] == "" && {
+            let t = send(a, "PUT", "/v1/jobs", &job("first", "batch", 2, "i"));
+            assert!(t.status == 200 || t.status == 503, "{} {}", t.status, t.text());
+            t.status == 200
+        }
+    });
+    until("first is over", || status(b, "first") == "dead");
+    assert_eq!(summary(b, "first")["Complete"], 2);
+
+    // A service, seen at once on another controller; the same again changes nothing.
+    let web = job("web", "service", 2, "i");
+    let t = send(a, "PUT", "/v1/jobs", &web);
+    assert_eq!(t.status, 200, "{}", t.text());
+    let index = t.json()["JobModifyIndex"].as_u64().unwrap();
+    let again = send(b, "PUT", "/v1/jobs", &web);
+    assert_eq!(again.json()["JobModifyIndex"].as_u64(), Some(index), "{}", again.text());
+    until("web runs", || summary(b, "web")["Running"] == 2);
+    assert_eq!(s.running().len(), 2);
+
+    // EnforceIndex; what is refused, in the interface's own form.
+    let mut stale = job("web", "service", 3, "i");
+    stale["EnforceIndex"] = json!(true);
+    stale["JobModifyIndex"] = json!(index - 1);
+    let t = send(b, "PUT", "/v1/jobs", &stale);
+    assert!(t.status == 409 && t.text().contains("Enforcing job modify index"), "{} {}", t.status, t.text());
+    let cases = [
+        ("PUT", "/v1/jobs", job("many", "service", 4100, "i"), 400, "class service allows 40"),
+        ("PUT", "/v1/jobs", json!({"Job": {"ID": "x", "Type": "system", "TaskGroups": []}}), 400, "system"),
+        ("GET", "/v1/job/nothing", json!(null), 404, "not found"),
+        ("GET", "/v1/nothing", json!(null), 404, "no such path"),
+        ("GET", "/v1/acl/tokens", json!(null), 501, "operators' file"),
+        ("DELETE", "/v1/jobs", json!(null), 405, "method"),
+        ("GET", "/v1/jobs?index=x", json!(null), 400, "index"),
+        ("GET", "/v1/jobs?per_page=0", json!(null), 400, "per_page"),
+        ("POST", "/v1/job/web/scale", json!({"Target": {"Group": "none"}, "Count": 1}), 400, "no group"),
+        ("POST", "/v1/job/web/scale", json!({"Target": {"Group": "g"}, "Count": 41}), 400, "allows 40"),
+        ("POST", "/v1/job/web/dispatch", json!({}), 400, "not parameterized"),
+        ("POST", "/v1/jobs/parse", json!({"JobHCL": "job \"x\" {"}), 400, "1:"),
+    ];
+    for (method, path, body, want, words) in cases {
+        let t = send(a, method, path, &body);
+        assert!(t.status == want && t.text().contains(words), "{method} {path}: {} {}", t.status, t.text());
+    }
+
+    // Scaled in place: the running tasks go on.
+    let before = s.running();
+    assert_eq!(
+        send(b, "POST", "/v1/job/web/scale", &json!({"Target": {"Group": "g"}, "Count": 4})).status,
+        200
+    );
+    until("web has four", || summary(a, "web")["Running"] == 4);
+    assert!(before.iter().all(|t| s.running().contains(t)), "the first two went on");
+    assert_eq!(
+        send(a, "POST", "/v1/job/web/scale", &json!({"Target": {"Group": "g"}, "Count": 1})).status,
+        200
+    );
+    until("web has one", || s.running().len() == 1);
+
+    // Another image is another version: the old one is gone before it starts.
+    let old = s.running();
+    assert_eq!(send(a, "PUT", "/v1/jobs", &job("web", "service", 1, "i2")).status, 200);
+    until("replaced", || {
+        let now = s.running();
+        assert!(now.len() <= 1, "{now:?}");
+        now.len() == 1 && now != old
+    });
+    let versions = get(b, "/v1/job/web/versions").json();
+    assert!(versions["Versions"].as_array().unwrap().len() >= 3, "{versions}");
+
+    // Stopped, and then purged.
+    assert_eq!(send(b, "DELETE", "/v1/job/web", &json!(null)).status, 200);
+    assert_eq!(status(a, "web"), "dead");
+    until("nothing runs", || s.running().is_empty());
+    assert_eq!(send(b, "DELETE", "/v1/job/web?purge=true", &json!(null)).status, 200);
+    until("purged", || get(a, "/v1/job/web").status == 404);
+
+    // A batch job whose attempts are used up has failed once and for all.
+    assert_eq!(send(a, "PUT", "/v1/jobs", &job("bad", "batch", 1, "fails")).status, 200);
+    until("failed", || summary(b, "bad")["Failed"] == 1);
+    let bad = get(b, "/v1/job/bad").json();
+    assert_eq!(bad["Status"], "dead");
+    assert!(bad["StatusDescription"].as_str().unwrap().contains("task 0 failed 2 times"), "{bad}");
+
+    // Dispatch: rules, and once only under a token.
+    let mut param = job("param", "batch", 1, "i");
+    param["Job"]["ParameterizedJob"] = json!({"Payload": "forbidden", "MetaRequired": ["route"]});
+    assert_eq!(send(a, "PUT", "/v1/jobs", &param).status, 200);
+    let dispatch = |body: Value| send(b, "POST", "/v1/job/param/dispatch", &body);
+    for (body, words) in [
+        (json!({}), "Meta.route: is required"),
+        (json!({"Meta": {"route": "1", "x": "y"}}), "Meta.x"),
+        (json!({"Meta": {"route": "1"}, "Payload": "aGk="}), "forbidden"),
+    ] {
+        let t = dispatch(body);
+        assert!(t.status == 400 && t.text().contains(words), "{words}: {} {}", t.status, t.text());
+    }
+    let once = json!({"Meta": {"route": "7"}, "IdempotencyToken": "t1"});
+    let first = dispatch(once.clone());
+    assert_eq!(first.status, 200, "{}", first.text());
+    let child = first.json()["DispatchedJobID"].as_str().unwrap().to_owned();
+    let second = send(a, "POST", "/v1/job/param/dispatch", &once);
+    assert_eq!(second.json()["DispatchedJobID"], json!(child), "{}", second.text());
+    let path = child.replace('/', "%2F");
+    until("child is over", || status(a, &path) == "dead");
+    assert_eq!(get(a, &format!("/v1/job/{path}")).json()["Meta"]["route"], "7");
+
+    // Lists: prefix and pages; allocations lead back to their job.
+    let all = get(a, "/v1/jobs").json();
+    let ids: Vec<&str> = all.as_array().unwrap().iter().map(|j| j["ID"].as_str().unwrap()).collect();
+    assert_eq!(ids, ["bad", "first", "param", &child]);
+    assert_eq!(get(b, "/v1/jobs?prefix=par").json().as_array().unwrap().len(), 2);
+    assert_eq!(get(b, "/v1/jobs?per_page=3").json().as_array().unwrap().len(), 3);
+    let allocs = get(a, "/v1/job/first/allocations").json();
+    let one = allocs[0]["ID"].as_str().unwrap();
+    assert_eq!(get(b, &format!("/v1/allocation/{one}")).json()["JobID"], "first");
+    assert_eq!(get(b, "/v1/allocation/00000000-0000-8000-8000-000000000000").status, 404);
+    for path in [
+        "/v1/nodes",
+        "/v1/namespaces",
+        "/v1/regions",
+        "/v1/status/leader",
+        "/v1/agent/self",
+        "/v1/agent/health",
+        "/v1/evaluations",
+    ] {
+        assert_eq!(get(b, path).status, 200, "{path}");
+    }
+    // Native jobs and these never meet.
+    let guess = s.keys("g/j/").first().and_then(|k| k.strip_prefix("g/j/").map(str::to_owned)).unwrap();
+    let native = |method: &str, path: String, body: &Value| send(s.users[0], method, &path, body).status;
+    let stolen = json!({"ref": guess, "lot":"l","crew":"default","manner":"array","rank":"standard","pieces":1,
+        "cpus":1,"gpus":0,"memory_gb":1,"bundle":"i","image_gb":0.1,"same_place":false,"apart":false,
+        "loaners":false,"guess_s":1,"mark_s":0,"stow_s":0});
+    assert_eq!(native("POST", "/submissions".into(), &stolen), 400);
+    assert_eq!(native("POST", format!("/submissions/{guess}/abort"), &json!(null)), 404);
+    assert_eq!(native("GET", format!("/submissions/{guess}"), &json!(null)), 200);
+}
+
+/// A blocking query waits for its change, misses none, and its index never
+/// goes backwards, whichever controller is asked; a stream tells of each.
+#[test]
+fn queries_wait_and_streams_tell() {
+    let s = site(options());
+    let a = s.nomad[0];
+    until("registered", || send(a, "PUT", "/v1/jobs", &job("one", "service", 1, "i")).status == 200);
+    let mut index = get(a, "/v1/jobs").index;
+    assert!(index > 0);
+    // Nothing happens elsewhere: the wait ends by its time, with an index no lower.
+    until("one runs", || summary(a, "one")["Running"] == 1);
+    let quiet = get(a, "/v1/job/one/summary").index;
+    let began = Instant::now();
+    let t = get(s.nomad[1], &format!("/v1/job/one/summary?index={quiet}&wait=1s"));
+    assert!(t.status == 200 && t.index >= quiet, "{} {quiet}", t.index);
+    assert!(began.elapsed() < Duration::from_secs(8));
+    // Each change ends the wait, on whichever controller.
+    let mut stream = TcpStream::connect(s.nomad[2]).unwrap();
+    stream.write_all(b"GET /v1/event/stream?topic=Job HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    for i in 0..6 {
+        let reader = s.nomad[i % 3];
+        let from = index;
+        let waiting =
+            std::thread::spawn(move || get(reader, &format!("/v1/jobs?index={from}&wait=20s&prefix=more")));
+        std::thread::sleep(Duration::from_millis(100));
+        let t = send(s.nomad[(i + 1) % 3], "PUT", "/v1/jobs", &job(&format!("more-{i}"), "batch", 1, "i"));
+        assert_eq!(t.status, 200, "{}", t.text());
+        let mut told = waiting.join().unwrap();
+        assert!(told.index >= from, "{} after {from}", told.index);
+        // It may have been woken by something else that changed: ask on.
+        let began = Instant::now();
+        while told.json().as_array().unwrap().len() <= i {
+            assert!(began.elapsed() < Duration::from_secs(20));
+            let next = get(reader, &format!("/v1/jobs?index={}&wait=5s&prefix=more", told.index));
+            assert!(next.index >= told.index);
+            told = next;
+        }
+        index = told.index;
+    }
+    let mut text = String::new();
+    let mut part = [0u8; 4096];
+    while !(0..6).all(|i| text.contains(&format!("\"Key\":\"more-{i}\""))) {
+        let n = stream.read(&mut part).expect("the stream goes on");
+        assert!(n > 0, "the stream ended: {text}");
+        text.push_str(&String::from_utf8_lossy(&part[..n]));
+    }
+}
+
+/// Two controllers register the same job at once with different content: each
+/// answer says what holds, one of them is the last version, and nothing of the
+/// other is left over. A state service that is down answers 503, and what was
+/// accepted is there after it.
+#[test]
+fn changes_at_once_and_outages() {
+    let s = site(options());
+    until("registered", || {
+        send(s.nomad[0], "PUT", "/v1/jobs", &job("race", "service", 1, "i")).status == 200
+    });
+    let threads: Vec<_> = (0..9u32)
+        .map(|i| {
+            let a = s.nomad[i as usize % 3];
+            std::thread::spawn(move || {
+                send(a, "PUT", "/v1/jobs", &job("race", "service", 1 + i % 4, &format!("i{i}")))
+            })
+        })
+        .collect();
+    let told: Vec<Told> = threads.into_iter().map(|t| t.join().unwrap()).collect();
+    let accepted: Vec<u64> =
+        told.iter().filter(|t| t.status == 200).filter_map(|t| t.json()["JobModifyIndex"].as_u64()).collect();
+    assert!(!accepted.is_empty());
+    for t in &told {
+        assert!(matches!(t.status, 200 | 503), "{} {}", t.status, t.text());
+    }
+    // Every acceptance is a version of its own, and the last one holds.
+    let mut distinct = accepted.clone();
+    distinct.sort();
+    distinct.dedup();
+    assert_eq!(distinct.len(), accepted.len());
+    let now = get(s.nomad[2], "/v1/job/race").json();
+    assert_eq!(now["JobModifyIndex"].as_u64(), accepted.iter().max().copied());
+    assert_eq!(now["Version"].as_u64(), Some(accepted.len() as u64));
+    let want = now["TaskGroups"][0]["Count"].as_u64().unwrap();
+    until("the last one runs alone", || {
+        summary(s.nomad[0], "race")["Running"].as_u64() == Some(want) && s.running().len() as u64 == want
+    });
+
+    s.state_down(true);
+    std::thread::sleep(Duration::from_millis(200));
+    for (method, path, body) in [
+        ("PUT", "/v1/jobs", job("down", "batch", 1, "i")),
+        ("GET", "/v1/jobs", json!(null)),
+        ("DELETE", "/v1/job/race", json!(null)),
+        ("POST", "/v1/job/race/scale", json!({"Target": {"Group": "g"}, "Count": 2})),
+    ] {
+        let t = send(s.nomad[0], method, path, &body);
+        assert_eq!(t.status, 503, "{method} {path}: {}", t.text());
+    }
+    s.state_down(false);
+    until("back", || send(s.nomad[0], "PUT", "/v1/jobs", &job("up", "batch", 1, "i")).status == 200);
+    assert_eq!(get(s.nomad[1], "/v1/job/race").json()["Version"], now["Version"]);
+}
+
+/// A job that is longer than a value and a transaction: parts first, the head
+/// last; read back whole; what no head names is not there.
+#[test]
+fn a_job_longer_than_a_transaction_is_one_step() {
+    let s = site(Options { value_kb: 4.0, changes_at_once: 8, changes: 60.0, ..options() });
+    let mut long = job("long", "batch", 2, "i");
+    long["Job"]["Meta"] = json!({"text": "é\"\\\n".repeat(4000)});
+    until("registered", || {
+        let t = send(s.nomad[0], "PUT", "/v1/jobs", &long);
+        assert!(matches!(t.status, 200 | 503), "{} {}", t.status, t.text());
+        t.status == 200
+    });
+    let parts = s.keys("g/n/p/").len();
+    assert!(parts > 8, "{parts} parts");
+    let back = get(s.nomad[1], "/v1/job/long").json();
+    assert!(back["Meta"]["text"] == long["Job"]["Meta"]["text"], "it reads back as it was");
+    until("over", || status(s.nomad[2], "long") == "dead");
+    long["Job"]["Meta"]["text"] = json!("x".repeat(300_000));
+    let t = send(s.nomad[0], "PUT", "/v1/jobs", &long);
+    assert!(t.status == 400 && t.text().contains("at most"), "{} {}", t.status, t.text());
+}
+
+/// Tokens: a team sees and changes its own jobs only.
+#[test]
+fn tokens_open_their_teams_jobs_only() {
+    use gorseshore_nomad::service::tokens::hash;
+    let tokens = format!(
+        "token {{ team: \"default\" hash: \"{}\" }} token {{ team: \"other\" hash: \"{}\" }}",
+        hash(&[7; 16], "mine"),
+        hash(&[8; 16], "theirs")
+    );
+    let operator = SETTINGS.replacen("nomad {", &format!("nomad {{ {tokens}"), 1);
+    let s = site(Options { operator, controllers: 1, ..options() });
+    let a = s.nomad[0];
+    let with = |token: &str, method: &str, path: &str, body: &Value| {
+        let head = if token.is_empty() { String::new() } else { format!("X-Nomad-Token: {token}\r\n") };
+        ask(a, method, path, &head, &body.to_string(), Duration::from_secs(20)).unwrap()
+    };
+    until("registered", || with("mine", "PUT", "/v1/jobs", &job("j", "service", 1, "i")).status == 200);
+    let cases = [
+        ("", "GET", "/v1/jobs", 403),
+        ("wrong", "GET", "/v1/jobs", 403),
+        ("mine", "GET", "/v1/job/j", 200),
+        ("theirs", "GET", "/v1/job/j", 404),
+        ("theirs", "DELETE", "/v1/job/j", 404),
+        ("theirs", "PUT", "/v1/jobs", 403),
+        ("", "GET", "/v1/status/leader", 200),
+        ("", "GET", "/v1/agent/health", 200),
+    ];
+    for (token, method, path, want) in cases {
+        assert_eq!(
+            with(token, method, path, &job("j", "service", 2, "i")).status,
+            want,
+            "{token} {method} {path}"
+        );
+    }
+    assert_eq!(with("theirs", "GET", "/v1/jobs", &json!(null)).json(), json!([]));
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1053,6 +1053,7 @@
         run_us: (!job.service).then_some(job.run_us),
         tasks: job.tasks,
         save_us: job.save_us,
+        fails: false,
     })
     .filter(|f| f.tasks > 0)
 }
