--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -344,9 +344,11 @@
     pub fn progress(id: JobId, chunk: u32) -> String {
         format!("g/p/{id}/{chunk}")
     }
-    /// A chunk of a job's failures.
+    /// A chunk of a job's failures. Listings come in the order of keys, and a
+    /// job has to come before its failures and they before its end: `r` is
+    /// between `j` and `x`.
     pub fn failed(id: JobId, chunk: u32) -> String {
-        format!("g/f/{id}/{chunk}")
+        format!("g/r/{id}/{chunk}")
     }
     /// The mailbox of one node for another, used when no way between them is left.
     pub fn mail(to: &str, from: &str) -> String {
@@ -489,7 +491,7 @@
                 }
                 Change::Job(id)
             }
-            "f" => {
+            "r" => {
                 let Some((id, chunk)) = name.split_once('/') else { return Change::Other };
                 let (Some(id), Ok(chunk)) = (JobId::parse(id), chunk.parse::<u32>()) else {
                     return Change::Other;
@@ -623,6 +625,29 @@
         assert_eq!(l.machines[&MachineId::from("c")].addr, "addr");
     }
 
+    /// A controller that reads the state anew gets keys in their order; a world
+    /// with planners stood still for a leader that had lost the failures so.
+    #[test]
+    fn a_listing_in_order_of_keys_is_read_whole() {
+        let spec = r#"{"l":"l","t":"t","k":"array","r":"high","n":3,"u":[1000,0,500],"i":"i","f":4}"#;
+        let record = json!({"d": serde_json::from_str::<Value>(spec).unwrap(), "at": 1});
+        let id = JobId(7);
+        let mut keys = [
+            (keys::failed(id, 0), json!({"2": {"n": 3, "a": 99}})),
+            (keys::job(id), record),
+            (keys::progress(id, 0), json!("1")),
+        ];
+        keys.sort_by(|a, b| a.0.cmp(&b.0));
+        let mut l = Ledger::default();
+        for (i, (k, v)) in keys.iter().enumerate() {
+            l.apply(k, Some(v), 10 + i as u64);
+        }
+        let j = &l.jobs[&id];
+        assert_eq!((j.tasks, j.done.len()), (3, 1));
+        assert_eq!(j.failed.get(&2), Some(&Failures { count: 3, last: 99 }));
+        assert!(j.failed_stamps.contains_key(&0) && j.chunks.contains_key(&0));
+    }
+
     #[test]
     fn an_end_is_kept_whatever_comes_after() {
         let mut l = Ledger::default();
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -216,6 +216,7 @@
                 }
             }
             TaskState::Failed if known => {
+                let mut again = run.failures + 1;
                 if run.spec.attempts.is_some()
                     && let Some(attempt) = run.bound.get(&task.index).map(|b| b.attempt.0)
                 {
@@ -224,12 +225,13 @@
                         *f = Failures { count: f.count + 1, last: attempt };
                         run.unsaved.insert(task.index);
                     }
+                    again = f.count;
                 }
                 run.failures += 1;
                 run.failed_on.insert(id.clone());
                 if run.failed_on.len() > 1 && !run.proven {
                     // It fails wherever it is: wait longer each time.
-                    run.retry_at = now + Micros::millis(500 << run.failures.min(7));
+                    run.retry_at = now + Micros::millis(500 << again.min(7));
                 } else {
                     run.retry_at = now + Micros::millis(200);
                 }
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -349,7 +349,10 @@
                 running += r.bound.len() as f64;
             }
             let waiting = r.waiting();
-            if waiting == 0 || r.over || r.held || self.blocked(r) || r.failures > 5 && !r.proven {
+            // A job that fails wherever it is gets no more machines; one whose
+            // attempts are bounded comes to its end the sooner.
+            let hopeless = r.failures > 5 && !r.proven && r.spec.attempts.is_none();
+            if waiting == 0 || r.over || r.held || self.blocked(r) || hopeless {
                 continue;
             }
             let starving = r.bound.is_empty() && wall_ms > r.submitted_ms + 90_000;
--- a/crates/nomad/src/service/mod.rs
+++ b/crates/nomad/src/service/mod.rs
@@ -353,7 +353,7 @@
                 Some(Pending::Request(r)) => self.refuse(r.id, 503, "the state service can't be asked now"),
                 Some(Pending::Register(r)) if good => self.register_proved(host, *r),
                 Some(Pending::Register(r)) => {
-                    self.refuse(r.request.id, 503, "the state service can't be asked now");
+                    self.give_up(&r, 503, "the state service can't be asked now");
                 }
                 _ => {}
             },
--- a/crates/nomad/src/service/register.rs
+++ b/crates/nomad/src/service/register.rs
@@ -268,7 +268,7 @@
         self.decide(host, r);
     }
 
-    fn give_up(&mut self, r: &Registration, status: u16, text: &str) {
+    pub(crate) fn give_up(&mut self, r: &Registration, status: u16, text: &str) {
         if r.by_leader {
             self.busy.remove(&r.key);
             return self.dirty_later(&r.key);
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -104,6 +104,11 @@
         self.keys.get(key).map(|e| e.value.clone())
     }
 
+    /// The revision of a key's last change, 0 if it is not there.
+    pub fn stamp(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |e| e.stamp)
+    }
+
     /// Keys with a prefix.
     pub fn names(&self, prefix: &str) -> Vec<String> {
         self.keys.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,12 +1,14 @@
 //! A seeded world in memory: some nodes, stand-ins for the outside systems,
 //! a network that loses, delays, repeats and holds back, and troubles. Every
 //! rule of the protocol is checked at each step.
+mod nomad;
+
 use gorseshore_standins::{state, worker};
 
 use gorseshore_core::node::Node;
 use gorseshore_core::{Call, CallId, CallResult, Input, Output, RequestId, Target};
 use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts, Rental, Rentals};
-use gorseshore_protocol::ids::Micros;
+use gorseshore_protocol::ids::{Micros, TaskId};
 use gorseshore_protocol::workers::{CheckinAnswer, Direct};
 use gorseshore_settings::{Operator, Platform};
 use serde_json::{Value, json};
@@ -21,6 +23,8 @@
 const CANCEL: u64 = 34 * S;
 /// Workers are looked at so often.
 const WORKERS_EVERY: u64 = 50 * MS;
+/// The time of day at which a world begins, in milliseconds.
+const WALL_MS: u64 = 1_700_000_000_000;
 const ZONES: [&str; 2] = ["east", "west"];
 
 /// How large a world is.
@@ -40,6 +44,8 @@
     /// When no more jobs and troubles come, and when the day ends.
     busy_until: u64,
     ends: u64,
+    /// Planners with Nomad jobs beside the users.
+    planners: bool,
 }
 
 const SMALL: Size = Size {
@@ -52,7 +58,12 @@
     tasks: 12,
     busy_until: 150 * S,
     ends: 300 * S,
+    planners: false,
 };
+/// The small world with planners, and values so short that their jobs take
+/// several parts.
+const PLANNED: Size =
+    Size { value_kb: 2.0, changes_at_once: 8, jobs: 3, ends: 360 * S, planners: true, ..SMALL };
 /// Seven controllers, hundreds of machines, a start from nothing with a tight
 /// budget of changes.
 const GROWN: Size = Size {
@@ -65,6 +76,7 @@
     tasks: 60,
     busy_until: 80 * S,
     ends: 200 * S,
+    planners: false,
 };
 
 /// Controllers are spread over the zones in turn.
@@ -130,6 +142,8 @@
     Peer(usize, usize, u64, gorseshore_core::peer::Message),
     Request(usize, u64, RequestId, &'static str, String, Vec<u8>),
     Answered(RequestId, u16, Vec<u8>),
+    GuestRequest(usize, u64, RequestId, &'static str, String, Vec<u8>),
+    GuestAnswered(RequestId, gorseshore_core::guest::Answer),
     Workers,
     Users,
     Trouble,
@@ -151,6 +165,7 @@
     Poll(usize),
     Abort(usize),
     Stranger,
+    Planner(nomad::Asked),
 }
 
 struct World {
@@ -187,6 +202,7 @@
     used_us: u64,
     paid_us: u64,
     quiet: bool,
+    planners: nomad::Planners,
 }
 
 impl World {
@@ -222,6 +238,7 @@
             used_us: 0,
             paid_us: 0,
             quiet,
+            planners: nomad::Planners::default(),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -277,7 +294,7 @@
     fn feed(&mut self, n: usize, input: Input) {
         let now = self.now;
         let Some(node) = self.nodes[n].as_mut() else { return };
-        let outputs = node.handle(Micros(now), 1_700_000_000_000 + now / 1000, input);
+        let outputs = node.handle(Micros(now), WALL_MS + now / 1000, input);
         let me = self.incarnations[n];
         for o in outputs {
             match o {
@@ -312,7 +329,11 @@
                         _ => self.at(d, Event::Arrive(n, me, id, call)),
                     }
                 }
-                Output::GuestAnswer(..) | Output::Open(..) | Output::Chunk(..) | Output::Close(_) => {}
+                Output::GuestAnswer(id, answer) => {
+                    let d = self.delay();
+                    self.at(d, Event::GuestAnswered(id, answer));
+                }
+                Output::Open(..) | Output::Chunk(..) | Output::Close(_) => {}
                 Output::Send { to, message } => {
                     let to = to.0 as usize;
                     let cut = self.node_node_cut(n, to);
@@ -462,8 +483,11 @@
         name: &str,
         f: impl FnOnce(&mut Machine, &dyn Fn(&str) -> Option<Facts>, u64) -> T,
     ) -> Option<T> {
-        let (jobs, now) = (&self.jobs, self.now);
-        let facts = |piece: &str| facts(jobs, piece);
+        let (jobs, state, now) = (&self.jobs, &self.state, self.now);
+        let facts = |piece: &str| match own(piece) {
+            Some(_) => World::own_facts(state, piece),
+            None => facts(jobs, piece),
+        };
         self.machines.get_mut(name).map(|m| f(m, &facts, now))
     }
 
@@ -584,6 +608,9 @@
 
     fn check_start(&mut self, at: &str, piece: &str) {
         self.started += 1;
+        if let Some(task) = own(piece) {
+            return self.check_own_start(at, task);
+        }
         let (j, index) = Self::job_of(piece);
         let m = &self.machines[at];
         let job = &self.jobs[j];
@@ -602,7 +629,7 @@
                 .values()
                 .filter(|o| o.zone == m.zone)
                 .flat_map(|o| o.tasks.iter())
-                .filter(|t| t.on() && Self::job_of(&t.name).0 == j)
+                .filter(|t| t.on() && own(&t.name).is_none() && Self::job_of(&t.name).0 == j)
                 .count() as u32;
             if here > job.tasks.div_ceil(2) {
                 faults.push(("wrong_place", format!("{here} tasks of job {j} in {}", m.zone)));
@@ -617,13 +644,13 @@
     }
 
     fn check_all(&mut self) {
-        let mut tight = 0.0;
+        let mut tight = if self.size.planners { self.check_own() } else { 0.0 };
         let mut on = 0;
         let mut faults: Vec<(&str, String)> = Vec::new();
         let mut done = Vec::new();
         for (name, m) in &self.machines {
             self.paid_us += (m.cpus * WORKERS_EVERY as f64) as u64;
-            for t in &m.tasks {
+            for t in m.tasks.iter().filter(|t| own(&t.name).is_none()) {
                 let (j, i) = Self::job_of(&t.name);
                 let job = &self.jobs[j];
                 if t.stage == Stage::Exited("done") {
@@ -662,6 +689,8 @@
             serde_json::from_slice::<Value>(b).ok().and_then(|v| v["stage"].as_str().map(str::to_owned))
         };
         match asker {
+            // It went to another address.
+            Asker::Planner(_) => {}
             Asker::Worker(name, key) => self.checkin_answered(&name, key, status, &body),
             Asker::Stranger => {
                 if status == 200 {
@@ -724,7 +753,14 @@
 
     // ---- users and troubles ----------------------------------------------
 
+    fn wall_ms(&self) -> u64 {
+        WALL_MS + self.now / 1000
+    }
+
     fn users(&mut self) {
+        if self.size.planners {
+            self.plan();
+        }
         if self.now < self.size.busy_until && (self.jobs.len() < self.size.jobs || self.rng.u32(0..12) == 0) {
             self.new_job();
         }
@@ -946,7 +982,11 @@
             }
             Event::Restart(n) => {
                 let seed = self.rng.u64(..) >> 1;
-                let node = Node::new(&platform(n, &self.size), Operator::default(), seed, now, Micros(now));
+                let mut node =
+                    Node::new(&platform(n, &self.size), Operator::default(), seed, now, Micros(now));
+                if self.size.planners {
+                    node = nomad::guest(node, seed);
+                }
                 self.incarnations[n] = node.incarnation();
                 self.nodes[n] = Some(node);
                 self.at(0, Event::Tick(n));
@@ -976,6 +1016,13 @@
                 }
             }
             Event::Answered(id, status, body) => self.answered(id, status, body),
+            Event::GuestRequest(n, me, id, method, path, body) => {
+                if self.incarnations[n] == me && self.nodes[n].is_some() {
+                    let method = method.into();
+                    self.feed(n, Input::GuestRequest { id, method, path, token: None, body });
+                }
+            }
+            Event::GuestAnswered(id, answer) => self.planned(id, answer),
             Event::Workers => {
                 self.workers();
                 self.at(WORKERS_EVERY, Event::Workers);
@@ -1045,6 +1092,11 @@
     }
 }
 
+/// The task, if its job has an id of the service's own.
+fn own(piece: &str) -> Option<TaskId> {
+    TaskId::parse(piece).filter(|t| t.job.own())
+}
+
 fn facts(jobs: &[Job], piece: &str) -> Option<Facts> {
     let (j, i) = World::job_of(piece);
     let job = jobs.get(j).filter(|job| job.submitted && i < job.tasks)?;
--- /dev/null
+++ b/tests/world/nomad.rs
@@ -0,0 +1,357 @@
+//! Nomad jobs in the world, beside native ones: planners who register, scale,
+//! stop and poll at whatever controller, and the rules for what runs of them.
+use super::*;
+use gorseshore_core::guest::Answer;
+use gorseshore_core::jobs::description;
+use gorseshore_nomad::service::Service;
+use gorseshore_nomad::service::records::{Head, JobKey};
+use gorseshore_protocol::ids::{JobId, TaskId};
+use gorseshore_protocol::job::Kind;
+use std::collections::BTreeSet;
+
+const SETTINGS: &str = r#"
+nomad {
+  class { name: "free" team: "free" job: "s*" type: "service" rank: "prod" max_count: 50 }
+  class { name: "tight" team: "tight" job: "t*" type: "service" rank: "prod" max_count: 50 }
+  class { name: "batch" team: "free" type: "batch" rank: "high" estimate_s: 4 max_count: 50 spot: true }
+}
+"#;
+
+/// The operators' settings of a world with planners.
+pub fn operator() -> Operator {
+    Operator::parse(SETTINGS).unwrap()
+}
+
+/// A controller with the interface beside the scheduler.
+pub fn guest(node: Node, seed: u64) -> Node {
+    let settings = operator().nomad.unwrap();
+    node.with_guest(Box::new(Service::new(settings, seed)))
+}
+
+/// What a planner asked for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Op {
+    Register,
+    Scale,
+    Stop,
+    Poll,
+}
+
+/// A request on its way: what, of which job, and the highest indexes that
+/// anybody was told before it was sent.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    pub op: Op,
+    pub job: &'static str,
+    told: u64,
+    index: u64,
+}
+
+/// What planners know.
+#[derive(Debug, Default)]
+pub struct Planners {
+    /// Highest `JobModifyIndex` that was told of each job.
+    told: BTreeMap<&'static str, u64>,
+    /// Highest `X-Nomad-Index` told.
+    index: u64,
+    /// Versions that were told dead.
+    dead: BTreeSet<(&'static str, u64)>,
+    /// When a stop was accepted, and at which revision.
+    stopped: BTreeMap<&'static str, (u64, u64)>,
+    next: u64,
+    pub accepted: usize,
+    pub launched: usize,
+    pub replaced: usize,
+}
+
+/// The planners' jobs: services of either team, batch jobs, one that fails for
+/// good, and one that launches every minute.
+const JOBS: [&str; 7] = ["s0", "s1", "t0", "b0", "b1", "fails", "minutes"];
+
+fn file(job: &str, count: u32, image: u32) -> Value {
+    let service = job.starts_with('s') || job.starts_with('t');
+    let image = if job == "fails" { "fails".to_owned() } else { format!("i{image}") };
+    // Long enough for several values of the state service.
+    let meta = json!({"text": "x".repeat(3000)});
+    let mut v = json!({"ID": job, "Type": if service { "service" } else { "batch" }, "Meta": meta,
+        "TaskGroups": [{"Name": "g", "Count": count,
+            "RestartPolicy": {"Attempts": if service { 2 } else { 1 }, "Mode": "fail"},
+            "ReschedulePolicy": {"Attempts": if service { 0 } else { 1 }, "Unlimited": service},
+            "Tasks": [{"Name": "t", "Driver": "docker", "Config": {"image": image},
+                "Resources": {"Cores": 1, "MemoryMB": 512}}]}]});
+    if job == "minutes" {
+        v["Periodic"] = json!({"Specs": ["* * * * *"], "ProhibitOverlap": false});
+    }
+    json!({ "Job": v })
+}
+
+impl World {
+    /// What a worker knows of a task: the record behind it.
+    pub fn own_facts(state: &State, piece: &str) -> Option<Facts> {
+        let task = TaskId::parse(piece).filter(|t| t.job.own())?;
+        let spec = description(task.job, &state.value(&format!("g/j/{}", task.job))?)?;
+        (task.index < spec.tasks).then(|| Facts {
+            cpus: spec.need.cpu as f64 / 1000.0,
+            run_us: (spec.kind == Kind::Array).then_some((spec.estimate_s * 1e6) as u64),
+            tasks: spec.tasks,
+            save_us: None,
+            fails: spec.image == "fails",
+        })
+    }
+
+    fn heads(&self) -> Vec<(Head, u64)> {
+        let names = self.state.names("g/n/j/");
+        names
+            .iter()
+            .filter_map(|n| Some((serde_json::from_value(self.state.value(n)?).ok()?, self.state.stamp(n))))
+            .collect()
+    }
+
+    fn head(&self, job: &str) -> Option<(Head, u64)> {
+        let name = format!("g/n/j/{}", JobKey::of("default", job).0);
+        Some((serde_json::from_value(self.state.value(&name)?).ok()?, self.state.stamp(&name)))
+    }
+
+    /// Own tasks on machines, by native job.
+    fn own_on(&self) -> BTreeMap<JobId, u32> {
+        let mut on = BTreeMap::new();
+        for t in self.machines.values().flat_map(|m| &m.tasks).filter(|t| t.on()) {
+            if let Some(t) = TaskId::parse(&t.name).filter(|t| t.job.own()) {
+                *on.entry(t.job).or_default() += 1;
+            }
+        }
+        on
+    }
+
+    /// Planners act.
+    pub fn plan(&mut self) {
+        if self.now < self.planners.next {
+            return;
+        }
+        let job = JOBS[self.rng.usize(0..JOBS.len())];
+        self.planners.next = self.now + self.rng.u64(200 * MS..1200 * MS);
+        let n = self.rng.usize(0..self.size.nodes);
+        let busy = self.now < self.size.busy_until;
+        let path = format!("/v1/job/{job}");
+        let there = self.planners.told.contains_key(job);
+        let op = match self.rng.u32(0..12) {
+            _ if !there => Op::Register,
+            0..=2 if busy => Op::Register,
+            3..=4 if busy && job != "minutes" => Op::Scale,
+            5 if busy => Op::Stop,
+            _ => Op::Poll,
+        };
+        // A batch job grows rather than shrinks: what is done stays done.
+        let count = self.rng.u32(1..5);
+        let image = self.rng.u32(0..2);
+        let (method, path, body) = match op {
+            Op::Register => ("PUT", "/v1/jobs".into(), file(job, count, image).to_string()),
+            Op::Scale => {
+                let body = json!({"Target": {"Group": "g"}, "Count": count}).to_string();
+                ("POST", format!("{path}/scale"), body)
+            }
+            Op::Stop => ("DELETE", path, String::new()),
+            Op::Poll => ("GET", path, String::new()),
+        };
+        let told = self.planners.told.get(job).copied().unwrap_or(0);
+        let asked = Asked { op, job, told, index: self.planners.index };
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        self.asked.insert(id, Asker::Planner(asked));
+        let me = self.incarnations[n];
+        let d = self.delay();
+        self.at(d, Event::GuestRequest(n, me, id, method, path, body.into_bytes()));
+    }
+
+    /// An answer reached its planner.
+    pub fn planned(&mut self, id: RequestId, answer: Answer) {
+        let Some(Asker::Planner(a)) = self.asked.remove(&id) else { return };
+        let header = answer.headers.iter().find(|(n, _)| *n == "X-Nomad-Index").map(|(_, v)| v.clone());
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        match answer.status {
+            200 => {}
+            404 if a.op == Op::Poll && a.told > 0 => {
+                return self.break_rule("forgotten", format!("{}: {text}", a.job));
+            }
+            // Stopped jobs can't be scaled; others say when to come back.
+            400 | 404 | 409 if a.op == Op::Scale || a.op == Op::Stop => return,
+            429 | 503 => return,
+            s => return self.break_rule("answer", format!("{:?} of {}: {s} {text}", a.op, a.job)),
+        }
+        let index: u64 = header.and_then(|h| h.parse().ok()).unwrap_or(0);
+        if index < a.index {
+            self.break_rule("index", format!("{}: {index} after {}", a.job, a.index));
+        }
+        self.planners.index = self.planners.index.max(index);
+        let v: Value = serde_json::from_slice(&answer.body).unwrap();
+        let modified = v["JobModifyIndex"].as_u64().unwrap();
+        if modified < a.told {
+            self.break_rule("went_back", format!("{}: version {modified} after {}", a.job, a.told));
+        }
+        let known = self.planners.told.entry(a.job).or_default();
+        *known = modified.max(*known);
+        match a.op {
+            Op::Poll => {
+                let dead = v["Status"] == "dead";
+                if dead && v["Type"] == "batch" && v["Stop"] == false {
+                    self.planners.dead.insert((a.job, modified));
+                } else if self.planners.dead.contains(&(a.job, modified)) && v["Stop"] == false {
+                    self.break_rule("went_back", format!("{} is {} again", a.job, v["Status"]));
+                }
+            }
+            Op::Stop => {
+                self.planners.accepted += 1;
+                self.planners.stopped.insert(a.job, (self.now, modified));
+            }
+            _ => self.planners.accepted += 1,
+        }
+    }
+
+    /// The rules for an own task that starts.
+    pub fn check_own_start(&mut self, at: &str, task: TaskId) {
+        let piece = task.to_string();
+        let twice = self
+            .machines
+            .iter()
+            .filter(|(n, m)| *n != at && m.tasks.iter().any(|t| t.name == piece && t.on()));
+        let twice: Vec<String> = twice.map(|(n, _)| n.clone()).collect();
+        if !twice.is_empty() {
+            self.break_rule("ran_twice", format!("{piece} starts on {at} while it is on {twice:?}"));
+        }
+        // Nothing of a version starts while something of the one before is on.
+        let on = self.own_on();
+        for (head, _) in self.heads() {
+            if head.groups.iter().any(|g| g.job == task.job.0) {
+                let left: Vec<u64> =
+                    head.old.iter().copied().filter(|o| on.contains_key(&JobId(*o))).collect();
+                if !left.is_empty() {
+                    self.break_rule(
+                        "both_versions",
+                        format!("{piece} of {} starts beside {left:?}", head.id),
+                    );
+                }
+                self.planners.replaced += !head.old.is_empty() as usize;
+            }
+        }
+    }
+
+    /// The rules for own tasks that are on machines; CPUs of the tight team.
+    pub fn check_own(&mut self) -> f64 {
+        let on = self.own_on();
+        if on.is_empty() {
+            return 0.0;
+        }
+        let mut tight = 0.0;
+        let mut faults = Vec::new();
+        for (head, stamp) in self.heads() {
+            let here: u32 = head.natives().filter_map(|j| on.get(&j)).sum();
+            if head.team == "tight" {
+                tight += here as f64;
+            }
+            let Some((job, (at, revision))) = self.planners.stopped.get_key_value(head.id.as_str()) else {
+                continue;
+            };
+            if head.stop && stamp == *revision && here > 0 && self.now > at + CANCEL {
+                faults.push(format!("{here} tasks of {job}, stopped {} s ago", (self.now - at) / S));
+            }
+        }
+        for f in faults {
+            self.break_rule("ran_cancelled", f);
+        }
+        tight
+    }
+
+    /// At the end of a day that healed: what the heads ask for is there.
+    pub fn check_planned(&mut self) {
+        let on = self.own_on();
+        let (mut faults, mut launches) = (Vec::new(), BTreeSet::new());
+        for (job, told) in self.planners.told.clone() {
+            match self.head(job) {
+                Some((_, stamp)) if stamp >= told => {}
+                other => faults.push(format!("{job}: told {told}, there is {:?}", other.map(|h| h.1))),
+            }
+        }
+        for (head, _) in self.heads() {
+            let here = |j: u64| on.get(&JobId(j)).copied().unwrap_or(0);
+            let old: u32 = head.old.iter().map(|j| here(*j)).sum();
+            if old > 0 {
+                faults.push(format!("{}: {old} tasks of versions before", head.id));
+            }
+            if let Some(t) = head.id.strip_prefix("minutes/periodic-") {
+                launches.insert(t.parse::<u64>().unwrap());
+            }
+            let end = |j: u64| self.state.value(&format!("g/x/{}", JobId(j)));
+            for g in &head.groups {
+                if head.template() || head.stop {
+                    if here(g.job) > 0 {
+                        faults.push(format!("{} is stopped and has {} tasks", head.id, here(g.job)));
+                    }
+                } else if head.kind == "service" {
+                    if head.team == "free" && here(g.job) != g.count {
+                        faults.push(format!("{}: {} of {} replicas", head.id, here(g.job), g.count));
+                    }
+                } else {
+                    match end(g.job) {
+                        // What began a moment ago goes on.
+                        None if head.at + 60_000 > self.wall_ms() => {}
+                        None => faults.push(format!(
+                            "{}: not over; {} on machines, failed {:?}, record {:?}, old {:?}",
+                            head.id,
+                            here(g.job),
+                            self.state.value(&format!("g/r/{}/0", JobId(g.job))),
+                            self.state.value(&format!("g/j/{}", JobId(g.job))),
+                            head.old
+                        )),
+                        Some(e) if head.id == "fails" => {
+                            if !e["why"].as_str().unwrap_or("").contains("attempts used up") {
+                                faults.push(format!("fails ended as {e}"));
+                            }
+                        }
+                        Some(e) if e["end"] != "done" => faults.push(format!("{} ended as {e}", head.id)),
+                        Some(_) => {}
+                    }
+                }
+            }
+        }
+        if launches.iter().any(|t| t % 60 != 0) {
+            faults.push(format!("launches at {launches:?}"));
+        }
+        // The day goes on for minutes after it has healed: the last one was launched.
+        let running =
+            self.head("minutes").is_some_and(|(h, _)| !h.stop && h.at + 61_000 < self.wall_ms() - 30_000);
+        let last = (self.wall_ms() / 1000 - 30) / 60 * 60;
+        if running && !launches.contains(&last) {
+            faults.push(format!("minute {last} was not launched, but {launches:?}"));
+        }
+        self.planners.launched = launches.len();
+        for f in faults {
+            self.break_rule("planned", f);
+        }
+    }
+}
+
+/// Nomad jobs beside native ones through rough days.
+#[test]
+fn planners_jobs_keep_the_rules() {
+    let seeds = std::env::var("NOMAD_SEEDS").ok();
+    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
+        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
+        None => (1, 13),
+    };
+    if std::env::var("LOG_LEVEL").is_ok() {
+        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
+    }
+    let (mut accepted, mut replaced, mut launched) = (0, 0, 0);
+    for seed in from..to {
+        let mut w = play(seed, false, PLANNED);
+        if w.broken.is_empty() {
+            w.check_planned();
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?} {:#?}", w.broken, w.describe(&[]).1);
+        accepted += w.planners.accepted;
+        replaced += w.planners.replaced;
+        launched += w.planners.launched;
+    }
+    println!("{accepted} changes accepted, {replaced} starts after a replacement, {launched} launches");
+    assert!(accepted > 10 * (to - from) as usize && replaced > 0 && launched > 0);
+}
