--- a/crates/nomad/src/lib.rs
+++ b/crates/nomad/src/lib.rs
@@ -52,15 +52,28 @@
     }
 }
 
-/// Judges a file by its content: JSON if it begins with a brace.
-pub fn judge(source: &str, inputs: &Inputs, settings: &Nomad, site: &Site) -> Judgement {
-    let mut faults = Faults::default();
+fn read_unplaced(source: &str, inputs: &Inputs, faults: &mut Faults) -> Option<model::Job> {
     let block = if source.trim_start().starts_with('{') {
-        json::read(source, &mut faults)
+        json::read(source, faults)
     } else {
-        hcl::read(source, inputs, &mut faults)
+        hcl::read(source, inputs, faults)
     };
-    let job = block.and_then(|b| model::read(&b, &mut faults));
+    block.and_then(|b| model::read(&b, faults))
+}
+
+/// Reads a file by its content, JSON if it begins with a brace, and checks it
+/// against the specification, not against classes and machines.
+pub fn read(source: &str, inputs: &Inputs) -> (Option<model::Job>, Faults) {
+    let mut faults = Faults::default();
+    let job = read_unplaced(source, inputs, &mut faults);
+    faults.place(source);
+    (job, faults)
+}
+
+/// Judges a file by its content: JSON if it begins with a brace.
+pub fn judge(source: &str, inputs: &Inputs, settings: &Nomad, site: &Site) -> Judgement {
+    let mut faults = Faults::default();
+    let job = read_unplaced(source, inputs, &mut faults);
     let mut class = None;
     let mut groups = Vec::new();
     if let Some(j) = &job {
--- a/crates/nomad/tests/samples.rs
+++ b/crates/nomad/tests/samples.rs
@@ -99,6 +99,30 @@
     assert_eq!(script, want);
 }
 
+/// What the interface shows of a job is the job: registered again, it means the same.
+#[test]
+fn a_job_as_the_interface_shows_it_means_the_same() {
+    use gorseshore_nomad::service::records::api_job;
+    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("samples");
+    let mut seen = 0;
+    for f in std::fs::read_dir(dir).unwrap() {
+        let name = f.unwrap().file_name().into_string().unwrap();
+        let first = judged(&sample(&name), &Inputs::default());
+        let Some(job) = first.job.as_ref().filter(|_| first.accepted()) else { continue };
+        let second = judged(&json!({ "Job": api_job(job) }).to_string(), &Inputs::default());
+        assert!(second.accepted(), "{name}: {:?}", second.faults.list);
+        assert_eq!(second.groups, first.groups, "{name}");
+        let other = second.job.unwrap();
+        assert_eq!(
+            (&other.periodic.is_some(), &other.parameterized),
+            (&job.periodic.is_some(), &job.parameterized)
+        );
+        assert_eq!((&other.meta, other.priority, &other.id), (&job.meta, job.priority, &job.id), "{name}");
+        seen += 1;
+    }
+    assert!(seen >= 16);
+}
+
 #[test]
 fn samples_are_refused_with_place_and_reason() {
     // (file, exit code, (line, column, path, words of the reason))
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,5 +1,6 @@
 //! `gorseshore-standins site`: a whole site on loopback, to try things.
 use clap::{Args, Parser, Subcommand};
+use gorseshore_standins::measure::Load;
 use gorseshore_standins::site::{Options, Site};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -17,6 +18,24 @@
 enum Verb {
     /// Start controllers, state service, cloud and workers; nothing is kept.
     Site(SiteArgs),
+    /// Measure Nomad's interface against native submissions of the same work.
+    MeasureNomad(MeasureArgs),
+}
+
+#[derive(Args)]
+struct MeasureArgs {
+    /// Requests of each kind.
+    #[arg(long, default_value_t = 400)]
+    requests: usize,
+    /// Clients at a time.
+    #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u8).range(1..=200))]
+    clients: u8,
+    /// Queries that wait at a time.
+    #[arg(long, default_value_t = 1000)]
+    waiters: usize,
+    /// Changes a second that the state service takes.
+    #[arg(long, default_value_t = 200.0)]
+    changes: f64,
 }
 
 #[derive(Args)]
@@ -35,8 +54,23 @@
     seconds: Option<u64>,
 }
 
+fn measure(m: &MeasureArgs) -> ExitCode {
+    let load = Load { requests: m.requests, clients: m.clients as usize, waiters: m.waiters };
+    let options = Options { pace: 0.05, changes: m.changes.clamp(1.0, 1e6), ..Options::default() };
+    match gorseshore_standins::measure::run(&load, options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
-    let Verb::Site(args) = Cli::parse().verb;
+    let args = match Cli::parse().verb {
+        Verb::Site(args) => args,
+        Verb::MeasureNomad(m) => return measure(&m),
+    };
     let operator = match &args.operator_config {
         None => String::new(),
         Some(p) => match std::fs::read_to_string(p) {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -166,7 +166,8 @@
             text += &format!(
                 "[deployment.workers]\nreport_s = 2.0\nlease_s = 12.0\ncancel_s = 30.0\n\
                  [deployment.state]\nrps = 2000.0\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n\
-                 [deployment.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n",
+                 [deployment.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n\
+                 [deployment.machine_limits]\nsockets = 8000\n",
                 o.changes, o.value_kb, o.changes_at_once
             );
             let platform = Platform::parse(&text)?;
--- a/src/nomad.rs
+++ b/src/nomad.rs
@@ -1,12 +1,19 @@
 //! `gorseshore nomad …`: job files in Nomad's format.
 use clap::{Args, Subcommand};
+use gorseshore_nomad::service::records::api_job;
+use gorseshore_nomad::service::tokens;
 use gorseshore_nomad::translate::{MachineKind, Site};
+use gorseshore_nomad::tree::Severity;
 use gorseshore_nomad::{Inputs, Judgement, judge, table};
 use gorseshore_settings::Nomad;
-use serde_json::json;
-use std::collections::BTreeMap;
+use gorseshore_shell::http;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 #[derive(Subcommand)]
 pub enum Verb {
@@ -14,6 +21,68 @@
     Check(Check),
     /// Print what is served of the job specification.
     Table,
+    /// What registering a file would do at a running controller.
+    Plan(Remote),
+    /// Register a file at a running controller.
+    Run(Remote),
+    /// Where jobs stand: one, or all.
+    Status(Ask),
+    /// Stop a job.
+    Stop(Stop),
+    /// Make a token for a team: the token, and its hash for the operators' file.
+    Token,
+}
+
+#[derive(Args)]
+pub struct Server {
+    /// The interface of any controller.
+    #[arg(long, value_name = "URL", env = "NOMAD_ADDR", default_value = "http://127.0.0.1:4646")]
+    address: String,
+    /// The team's token.
+    #[arg(long, env = "NOMAD_TOKEN", hide_env_values = true)]
+    token: Option<String>,
+    /// The namespace.
+    #[arg(long, default_value = "default")]
+    namespace: String,
+}
+
+#[derive(Args)]
+pub struct Remote {
+    #[command(flatten)]
+    server: Server,
+    /// The job file, HCL or JSON; `-` for standard input.
+    #[arg(value_name = "FILE")]
+    file: PathBuf,
+    /// A variable's value.
+    #[arg(long = "var", value_name = "NAME=VALUE", value_parser = pair)]
+    vars: Vec<(String, String)>,
+    /// A file of variables' values; later ones count.
+    #[arg(long = "var-file", value_name = "FILE")]
+    var_files: Vec<PathBuf>,
+}
+
+#[derive(Args)]
+pub struct Ask {
+    #[command(flatten)]
+    server: Server,
+    /// The job; all of them if none is named.
+    #[arg(value_name = "JOB")]
+    job: Option<String>,
+    /// The interface's JSON on standard output.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Args)]
+pub struct Stop {
+    #[command(flatten)]
+    server: Server,
+    /// The job.
+    #[arg(value_name = "JOB")]
+    job: String,
+    /// Forget it once nothing of it is left.
+    #[arg(long)]
+    purge: bool,
 }
 
 #[derive(Args)]
@@ -47,14 +116,20 @@
 const STACK: usize = 64 << 20;
 
 pub fn run(verb: Verb) -> ExitCode {
-    match verb {
-        Verb::Check(c) => {
-            let done = std::thread::Builder::new().stack_size(STACK).spawn(move || check(&c));
-            match done.map(|t| t.join()) {
-                Ok(Ok(code)) => code,
-                _ => ExitCode::from(2),
-            }
+    let deep = |f: Box<dyn FnOnce() -> ExitCode + Send>| {
+        let done = std::thread::Builder::new().stack_size(STACK).spawn(f);
+        match done.map(|t| t.join()) {
+            Ok(Ok(code)) => code,
+            _ => ExitCode::from(2),
         }
+    };
+    match verb {
+        Verb::Check(c) => deep(Box::new(move || check(&c))),
+        Verb::Plan(r) => deep(Box::new(move || remote(&r, true))),
+        Verb::Run(r) => deep(Box::new(move || remote(&r, false))),
+        Verb::Status(a) => said(status(&a)),
+        Verb::Stop(s) => said(stop(&s)),
+        Verb::Token => token(),
         Verb::Table => {
             print!("{}", table::markdown());
             ExitCode::SUCCESS
@@ -62,6 +137,174 @@
     }
 }
 
+/// Why a request came to nothing, and the exit code for scripts: 1 if the
+/// controller refused it, 2 if it could not be asked.
+struct Failure(u8, String);
+
+fn said(r: Result<(), Failure>) -> ExitCode {
+    match r {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure(code, text)) => {
+            eprintln!("{text}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+impl Server {
+    /// One request; the body of a 200.
+    fn ask(&self, method: &str, path: &str, body: &str) -> Result<Value, Failure> {
+        let host = self.address.strip_prefix("http://").unwrap_or(&self.address).trim_end_matches('/');
+        let lost = |e: String| Failure(2, format!("{}: {e}", self.address));
+        let mut s = TcpStream::connect(host).map_err(|e| lost(e.to_string()))?;
+        s.set_read_timeout(Some(Duration::from_secs(60))).map_err(|e| lost(e.to_string()))?;
+        let token = match &self.token {
+            Some(t) if t.chars().all(|c| c.is_ascii_graphic()) => format!("X-Nomad-Token: {t}\r\n"),
+            Some(_) => return Err(Failure(2, "the token must be of visible ASCII characters".into())),
+            None => String::new(),
+        };
+        let sep = if path.contains('?') { '&' } else { '?' };
+        let namespace = utf8_percent_encode(&self.namespace, NON_ALPHANUMERIC);
+        let head = format!(
+            "{method} {path}{sep}namespace={namespace} HTTP/1.1\r\nHost: {host}\r\n{token}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        s.write_all(head.as_bytes())
+            .and_then(|()| s.write_all(body.as_bytes()))
+            .map_err(|e| lost(e.to_string()))?;
+        let (mut buf, mut part) = (Vec::new(), [0u8; 8192]);
+        loop {
+            match http::answer_head(&buf) {
+                Err(_) => return Err(lost("the answer is not HTTP".into())),
+                Ok(Some(h)) => {
+                    if let http::BodyEnd::Length(n) = h.body
+                        && buf.len() >= h.head + n
+                    {
+                        let body = &buf[h.head..h.head + n];
+                        return match h.status {
+                            200 => serde_json::from_slice(body).map_err(|e| lost(format!("not JSON: {e}"))),
+                            s => Err(Failure(1, format!("{s}: {}", String::from_utf8_lossy(body)))),
+                        };
+                    }
+                }
+                Ok(None) => {}
+            }
+            match s.read(&mut part) {
+                Ok(0) => return Err(lost("the connection was closed".into())),
+                Ok(n) => buf.extend_from_slice(&part[..n]),
+                Err(e) => return Err(lost(e.to_string())),
+            }
+        }
+    }
+}
+
+fn inputs(vars: &[(String, String)], files: &[PathBuf]) -> Result<Inputs, String> {
+    let mut inputs = Inputs { vars: vars.iter().cloned().collect(), files: Vec::new() };
+    for f in files {
+        inputs.files.push((f.display().to_string(), text(f)?));
+    }
+    Ok(inputs)
+}
+
+/// `plan` and `run`: the file is read here, so that faults have their places.
+fn remote(r: &Remote, plan: bool) -> ExitCode {
+    let read = text(&r.file).and_then(|t| Ok((t, inputs(&r.vars, &r.var_files)?)));
+    let (source, inputs) = match read {
+        Ok(x) => x,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    let (job, faults) = gorseshore_nomad::read(&source, &inputs);
+    for f in &faults.list {
+        eprintln!("{}:{f}", r.file.display());
+    }
+    let Some(job) = job.filter(|_| faults.accepted()) else {
+        let code = if faults.worst() == Some(Severity::Unreadable) { 2 } else { 1 };
+        return ExitCode::from(code);
+    };
+    let body = json!({ "Job": api_job(&job) }).to_string();
+    let done = if plan {
+        let path = format!("/v1/job/{}/plan", utf8_percent_encode(&job.id, NON_ALPHANUMERIC));
+        r.server.ask("POST", &path, &body).map(|v| {
+            for (group, u) in v["Annotations"]["DesiredTGUpdates"].as_object().into_iter().flatten() {
+                println!(
+                    "{group}: {} to start, {} to stop, {} go on",
+                    u["Place"], u["Stop"], u["InPlaceUpdate"]
+                );
+            }
+            for (group, why) in v["FailedTGAllocs"].as_object().into_iter().flatten() {
+                println!("{group}: some can't be placed: {why}");
+            }
+        })
+    } else {
+        r.server
+            .ask("PUT", "/v1/jobs", &body)
+            .map(|v| println!("{}: recorded at {}", job.id, v["JobModifyIndex"]))
+    };
+    said(done)
+}
+
+fn status(a: &Ask) -> Result<(), Failure> {
+    let Some(job) = &a.job else {
+        let v = a.server.ask("GET", "/v1/jobs", "")?;
+        if a.json {
+            println!("{v}");
+            return Ok(());
+        }
+        for j in v.as_array().into_iter().flatten() {
+            let word = |k: &str| j[k].as_str().unwrap_or("").to_owned();
+            println!(
+                "{:32} {:8} {:8} {}",
+                word("ID"),
+                word("Type"),
+                word("Status"),
+                word("StatusDescription")
+            );
+        }
+        return Ok(());
+    };
+    let id = utf8_percent_encode(job, NON_ALPHANUMERIC);
+    let v = a.server.ask("GET", &format!("/v1/job/{id}"), "")?;
+    let summary = a.server.ask("GET", &format!("/v1/job/{id}/summary"), "")?;
+    if a.json {
+        println!("{}", json!({"Job": v, "Summary": summary}));
+        return Ok(());
+    }
+    let word = |k: &str| v[k].as_str().unwrap_or("").to_owned();
+    println!("{}: {}, {}, version {}", word("ID"), word("Type"), word("Status"), v["Version"]);
+    if !word("StatusDescription").is_empty() {
+        println!("  {}", word("StatusDescription"));
+    }
+    for (group, s) in summary["Summary"].as_object().into_iter().flatten() {
+        println!(
+            "  {group}: {} running, {} waiting, {} complete, {} failed",
+            s["Running"], s["Queued"], s["Complete"], s["Failed"]
+        );
+    }
+    Ok(())
+}
+
+fn stop(s: &Stop) -> Result<(), Failure> {
+    let id = utf8_percent_encode(&s.job, NON_ALPHANUMERIC);
+    let v = s.server.ask("DELETE", &format!("/v1/job/{id}?purge={}", s.purge), "")?;
+    println!("{}: stop recorded at {}", s.job, v["JobModifyIndex"]);
+    Ok(())
+}
+
+fn token() -> ExitCode {
+    let mut bytes = [0u8; 32];
+    if let Err(e) = getrandom::fill(&mut bytes) {
+        eprintln!("no random numbers: {e}");
+        return ExitCode::from(2);
+    }
+    let token = hex::encode(&bytes[..16]);
+    println!("token: {token}");
+    println!("hash: {}", tokens::hash(&bytes[16..], &token));
+    ExitCode::SUCCESS
+}
+
 fn text(path: &Path) -> Result<String, String> {
     let read = if path.as_os_str() == "-" {
         std::io::read_to_string(std::io::stdin())
@@ -100,16 +343,13 @@
         );
         return ExitCode::from(2);
     };
-    let mut inputs = Inputs { vars: c.vars.iter().cloned().collect::<BTreeMap<_, _>>(), files: Vec::new() };
-    for f in &c.var_files {
-        match text(f) {
-            Ok(t) => inputs.files.push((f.display().to_string(), t)),
-            Err(e) => {
-                eprintln!("{e}");
-                return ExitCode::from(2);
-            }
+    let inputs = match inputs(&c.vars, &c.var_files) {
+        Ok(i) => i,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
         }
-    }
+    };
     let site = site(&settings);
     let mut worst = 0;
     let mut documents = Vec::new();
--- /dev/null
+++ b/tests/world/desk.rs
@@ -0,0 +1,362 @@
+//! One interface over the stand-in of the state service, without a network:
+//! for attacks that need a certain order, and for requests of any kind.
+use super::*;
+use gorseshore_core::guest::{Answer, Guest, GuestInput, GuestOutput, Host};
+use gorseshore_core::jobs::{Ledger, keys};
+use gorseshore_nomad::service::Service;
+use gorseshore_protocol::state::{Listing, Multi, News, When};
+use gorseshore_settings::Team;
+
+const LEADER: &str = "g/leader";
+
+/// The state service, and the interface of a controller that leads.
+struct Desk {
+    state: State,
+    service: Service,
+    ledger: Ledger,
+    flavors: Vec<Flavor>,
+    teams: Vec<Team>,
+    now: Micros,
+    wall_ms: u64,
+    leads: bool,
+    /// Writes of the leader are kept back instead of executed.
+    hold: bool,
+    held: Vec<Multi>,
+    answers: Vec<(RequestId, Answer)>,
+    next: u64,
+}
+
+impl Desk {
+    fn new(wall_ms: u64) -> Self {
+        let mut state = State::limited(1e9, 24, 4.0);
+        let m = json!({"when": [], "writes": [{"put": LEADER, "v": {"node": "n0", "term": 1, "lease": 1}}]});
+        state.request("POST", "/multi", m.to_string().as_bytes(), 0);
+        let settings = nomad::operator().nomad.unwrap();
+        let team =
+            |name: &str| Team { name: name.into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
+        let mut d = Desk {
+            state,
+            service: Service::new(settings, 1),
+            ledger: Ledger::default(),
+            flavors: World::flavors(),
+            teams: vec![team("free"), team("tight")],
+            now: Micros::secs(1),
+            wall_ms,
+            leads: true,
+            hold: false,
+            held: Vec::new(),
+            answers: Vec::new(),
+            next: 1,
+        };
+        d.service.begin(0);
+        d.catch_up();
+        d.pass(3);
+        d
+    }
+
+    /// Another process takes over: it knows only what is recorded.
+    fn restart(&mut self, seed: u64) {
+        self.service = Service::new(nomad::operator().nomad.unwrap(), seed);
+        self.ledger = Ledger::default();
+        self.service.begin(0);
+        self.held.clear();
+        self.catch_up();
+        self.pass(3);
+    }
+
+    fn catch_up(&mut self) {
+        let from = self.ledger.applied;
+        let path = format!("/follow?prefix=g/&from={from}&hold_ms=0");
+        let Outcome::Answer(_, body) = self.state.request("GET", &path, b"", 0) else { panic!() };
+        let news: News = serde_json::from_slice(&body).unwrap();
+        for e in news.news {
+            let (key, v) = match (&e.put, &e.remove) {
+                (Some(k), _) => (k, Some(&e.v)),
+                (None, Some(k)) => (k, None),
+                _ => continue,
+            };
+            let change = self.ledger.apply(key, v, e.stamp);
+            if let Some(name) = key.strip_prefix(keys::GUEST) {
+                self.service.apply(name, v, e.stamp);
+            } else if let gorseshore_core::jobs::Change::Job(id) = change {
+                self.service.job_changed(id, e.stamp);
+            }
+        }
+        self.ledger.applied = news.ledger;
+    }
+
+    fn execute(&mut self, m: &Multi) -> CallResult {
+        let body = serde_json::to_vec(m).unwrap();
+        let Outcome::Answer(status, body) = self.state.request("POST", "/multi", &body, 0) else { panic!() };
+        CallResult::Answer { status, body }
+    }
+
+    fn input(&mut self, input: GuestInput) {
+        let mut inputs = std::collections::VecDeque::from([input]);
+        while let Some(i) = inputs.pop_front() {
+            let host = Host {
+                now: self.now,
+                wall_ms: self.wall_ms,
+                ledger: &self.ledger,
+                running: &BTreeMap::new(),
+                flavors: &self.flavors,
+                teams: &self.teams,
+                loaded: true,
+                state_refuses: false,
+                leads: self.leads,
+                leader: Some("n0"),
+                me: "n0",
+                value_limit: 4000,
+                changes_at_once: 24,
+            };
+            for o in self.service.handle(&host, i) {
+                match o {
+                    GuestOutput::Answer(id, a) => self.answers.push((id, a)),
+                    GuestOutput::Open(..) | GuestOutput::Chunk(..) | GuestOutput::Close(_) => {}
+                    GuestOutput::Prove(t) => {
+                        self.catch_up();
+                        inputs.push_back(GuestInput::News);
+                        inputs.push_back(GuestInput::Proved(t, true));
+                    }
+                    GuestOutput::Read(t, prefix) => {
+                        let mut all = Listing { pairs: Vec::new(), truncated: true, ledger: 0 };
+                        while all.truncated {
+                            let from =
+                                all.pairs.last().map_or(String::new(), |p| format!("&from={}", p.path));
+                            let path = format!("/store?prefix=g/n/{prefix}&limit=1000{from}");
+                            let Outcome::Answer(_, body) = self.state.request("GET", &path, b"", 0) else {
+                                panic!()
+                            };
+                            let page: Listing = serde_json::from_slice(&body).unwrap();
+                            all.truncated = page.truncated;
+                            all.pairs.extend(page.pairs);
+                        }
+                        let body = serde_json::to_vec(&all).unwrap();
+                        inputs.push_back(GuestInput::Called(t, CallResult::Answer { status: 200, body }));
+                    }
+                    GuestOutput::Write { ticket, mut multi, as_leader } => {
+                        if as_leader {
+                            multi.when.push(When { path: LEADER.into(), stamp: self.state.stamp(LEADER) });
+                        }
+                        if as_leader && self.hold {
+                            self.held.push(multi);
+                            continue;
+                        }
+                        let r = self.execute(&multi);
+                        self.catch_up();
+                        inputs.push_back(GuestInput::News);
+                        inputs.push_back(GuestInput::Called(ticket, r));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Time goes on by whole seconds, with ticks.
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds * 2 {
+            self.now = self.now + Micros::millis(500);
+            self.wall_ms += 500;
+            self.input(GuestInput::Tick);
+        }
+    }
+
+    /// A request; its answer.
+    fn ask(&mut self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let (method, path, body) = (method.to_owned(), path.to_owned(), body.as_bytes().to_vec());
+        self.input(GuestInput::Request { id, method, path, token: None, body });
+        let at = self.answers.iter().position(|(i, _)| *i == id)?;
+        let (_, a) = self.answers.remove(at);
+        Some((a.status, String::from_utf8_lossy(&a.body).into_owned()))
+    }
+
+    fn put(&mut self, job: &Value) -> u16 {
+        self.ask("PUT", "/v1/jobs", &job.to_string()).unwrap().0
+    }
+
+    fn launches(&self) -> Vec<u64> {
+        let heads = self.state.names("g/n/j/").into_iter().filter_map(|n| self.state.value(&n));
+        let mut times: Vec<u64> =
+            heads.filter_map(|h| h["id"].as_str()?.split_once("/periodic-")?.1.parse().ok()).collect();
+        times.sort();
+        times
+    }
+}
+
+fn file(id: &str, image: &str, more: Value) -> Value {
+    let mut j = json!({"ID": id, "Type": "batch", "TaskGroups": [{"Name": "g", "Count": 2, "Tasks":
+        [{"Name": "t", "Driver": "docker", "Config": {"image": image}, "Resources": {"Cores": 1}}]}]});
+    j.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+    json!({ "Job": j })
+}
+
+/// A leader's write for a version that was replaced meanwhile comes late: it
+/// must change nothing, or both versions would run.
+#[test]
+fn a_late_write_for_an_older_head_changes_nothing() {
+    let mut d = Desk::new(1_700_000_000_000);
+    d.hold = true;
+    assert_eq!(d.put(&file("j", "one", json!({}))), 200);
+    d.pass(2);
+    assert!(!d.held.is_empty(), "the leader wants to make the native job");
+    let late = std::mem::take(&mut d.held);
+    // Another controller takes the next version; the leader makes its jobs.
+    (d.hold, d.leads) = (false, false);
+    d.restart(2);
+    assert_eq!(d.put(&file("j", "two", json!({}))), 200);
+    d.leads = true;
+    d.pass(2);
+    let natives = d.state.names("g/j/");
+    assert_eq!(natives.len(), 1);
+    for m in &late {
+        let r = d.execute(m);
+        assert!(matches!(r, CallResult::Answer { status: 409, .. }), "{r:?}");
+    }
+    assert_eq!(d.state.names("g/j/"), natives, "only the newer version's job is there");
+    // The same of a job that was stopped.
+    d.hold = true;
+    assert_eq!(d.put(&file("k", "one", json!({}))), 200);
+    d.pass(2);
+    let late = std::mem::take(&mut d.held);
+    d.leads = false;
+    assert_eq!(d.ask("DELETE", "/v1/job/k", "").unwrap().0, 200);
+    assert!(!late.is_empty());
+    for m in &late {
+        assert!(matches!(d.execute(m), CallResult::Answer { status: 409, .. }));
+    }
+    assert_eq!(d.state.names("g/j/"), natives);
+}
+
+/// Launches are made once through clock steps, restarts and repeated looks; of
+/// those that were missed only the last.
+#[test]
+fn launches_are_made_once_whatever_the_clock_does() {
+    // 2026-11-28 10:00:30 UTC.
+    let start = 1_795_860_030_000;
+    let mut d = Desk::new(start);
+    assert_eq!(d.put(&file("p", "i", json!({"Periodic": {"Specs": ["*/10 * * * *"]}}))), 200);
+    let at = |minute: u64| 1_795_860_000 + minute * 60;
+    // (what happens, launches after it, as minutes from 10:00)
+    type Step = (&'static str, fn(&mut Desk), &'static [u64]);
+    let steps: [Step; 9] = [
+        ("nothing is due", |d| d.pass(60), &[]),
+        ("ten past", |d| d.pass(600), &[10]),
+        ("looked at again and again", |d| d.pass(60), &[10]),
+        ("a restart", |d| d.restart(5), &[10]),
+        ("the clock is set back by half an hour", |d| d.wall_ms -= 1_800_000, &[10]),
+        ("time goes on there", |d| d.pass(1500), &[10]),
+        ("it is set on again, by two hours", |d| d.wall_ms += 7_200_000, &[10]),
+        ("which makes up for the last one only", |d| d.pass(5), &[10, 120]),
+        (
+            "nobody led for an hour",
+            |d| {
+                d.leads = false;
+                d.pass(3600);
+                d.leads = true;
+                d.pass(5);
+            },
+            &[10, 120, 180],
+        ),
+    ];
+    for (what, act, want) in steps {
+        act(&mut d);
+        let want: Vec<u64> = want.iter().map(|m| at(*m)).collect();
+        assert_eq!(d.launches(), want, "{what}, at {}", (d.wall_ms - start) / 60_000);
+    }
+}
+
+/// Requests of any kind, in any order: nothing panics, each is answered once
+/// with a status of the interface, or waits because it asked to.
+#[test]
+fn any_requests_are_answered() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let seeds: u64 = std::env::var("DESK_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(6);
+    let (mut asked, mut good) = (0, 0);
+    for seed in 0..seeds {
+        let mut d = Desk::new(1_700_000_000_000 + seed * 86_400_000);
+        for _ in 0..250 {
+            let id = ["a", "b", "a%2Fb", "%00", "a/periodic-1", "", "é"][rng.usize(0..7)];
+            let verb = [
+                "",
+                "/scale",
+                "/dispatch",
+                "/plan",
+                "/evaluate",
+                "/summary",
+                "/versions",
+                "/allocations",
+                "/periodic/force",
+                "/evaluations",
+                "/nonsense",
+            ][rng.usize(0..11)];
+            let path = match rng.u32(0..8) {
+                0 => [
+                    "/v1/jobs",
+                    "/v1/jobs/parse",
+                    "/v1/validate/job",
+                    "/v1/allocations",
+                    "/v1/evaluations",
+                    "/v1/nodes",
+                    "/v1/agent/self",
+                    "/",
+                    "/v1/",
+                    "/v1/job//x",
+                    "/v1/event/stream",
+                    "/v1/allocation/x",
+                ][rng.usize(0..12)]
+                .to_owned(),
+                1 => "/v1/jobs".into(),
+                _ => format!("/v1/job/{id}{verb}"),
+            };
+            let query = [
+                "",
+                "?",
+                "?prefix=a&per_page=1",
+                "?per_page=-1",
+                "?index=1&wait=1ms",
+                "?index=99999999&wait=-1s",
+                "?namespace=%2a",
+                "?purge=true",
+                "?next_token=%ff",
+                "?index=18446744073709551616",
+            ][rng.usize(0..10)];
+            let body = match rng.u32(0..9) {
+                0 => String::new(),
+                1 => "{".into(),
+                2 => json!({"Count": rng.u32(0..5), "Target": {"Group": "g"}}).to_string(),
+                3 => json!({"Meta": {"k": "v"}, "Payload": "aGk="}).to_string(),
+                4 => file("a", "i", json!({"Periodic": {"Specs": ["@hourly"]}})).to_string(),
+                5 => file("b", "i", json!({"ParameterizedJob": {"MetaRequired": ["k"]}})).to_string(),
+                6 => json!({"JobHCL": "job \"x\" {\n}\n", "Variables": 7}).to_string(),
+                7 => json!({"Job": {"ID": 7, "TaskGroups": {"Name": []}}}).to_string(),
+                _ => file(["a", "b"][rng.usize(0..2)], &format!("i{}", rng.u32(0..2)), json!({})).to_string(),
+            };
+            let method = ["GET", "PUT", "POST", "DELETE", "PATCH"][rng.usize(0..5)];
+            let told = d.ask(method, &format!("{path}{query}"), &body);
+            asked += 1;
+            match told {
+                Some((s, text)) => {
+                    assert!(
+                        [200, 400, 403, 404, 405, 409, 429, 501, 503].contains(&s),
+                        "{method} {path}{query}: {s} {text}"
+                    );
+                    good += (s == 200) as u32;
+                }
+                None => assert!(
+                    query.contains("index=") || path.contains("event"),
+                    "{method} {path}{query}: no answer"
+                ),
+            }
+            if rng.u32(0..10) == 0 {
+                d.pass(rng.u64(1..4));
+            }
+            if rng.u32(0..60) == 0 {
+                d.restart(rng.u64(..));
+            }
+            d.answers.clear();
+        }
+    }
+    assert!(good * 20 > asked, "{good} of {asked} were served");
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! A seeded world in memory: some nodes, stand-ins for the outside systems,
 //! a network that loses, delays, repeats and holds back, and troubles. Every
 //! rule of the protocol is checked at each step.
+mod desk;
 mod nomad;
 
 use gorseshore_standins::{state, worker};
