--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -285,11 +285,12 @@
         let Some(l) = self.office.leader.as_mut() else { return };
         l.note_unrecorded(&self.mirror.ledger, self.now);
         l.note_recorded(&self.mirror.ledger);
-        let l = &*l;
+        let Some(l) = self.office.leader.as_ref() else { return };
         let todo: Vec<LeaderWrite> = l
             .writes(&self.mirror.ledger, self.value_limit, self.now)
             .into_iter()
             .filter(|w| !self.office.inflight.contains(w))
+            .filter_map(|w| self.office.uncontested(w, self.now))
             .collect();
         let mut m = Multi { when: vec![When { path: keys::LEADER.into(), stamp: mine }], writes: Vec::new() };
         let mut taken = Vec::new();
@@ -448,6 +449,7 @@
                 // The mirror is behind: what failed will show there.
                 debug!("records changed meanwhile: {failed:?}");
                 self.office.retry_at = self.now + Micros::millis(60);
+                self.office.contest(&failed, self.now);
             }
             r => {
                 debug!("leader's records not confirmed: {r:?}");
--- a/crates/core/src/node/office.rs
+++ b/crates/core/src/node/office.rs
@@ -1,11 +1,12 @@
 //! Leadership: this node's part in the election, and the leader's work and
 //! writes while it leads.
 use crate::election::Election;
+use crate::jobs::keys;
 use crate::leader::{Leader, LeaderWrite};
 use crate::rate::Bucket;
 use gorseshore_protocol::ids::Micros;
 use gorseshore_settings::Operator;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The office.
 pub(super) struct Office {
@@ -18,6 +19,9 @@
     pub txns: usize,
     pub retry_at: Micros,
     pub wrote_at: Micros,
+    /// Keys whose condition did not hold: how often in a row, and until when
+    /// what needs them is left out.
+    pub contested: BTreeMap<String, (u32, Micros)>,
     pub bucket: Bucket,
     /// Another controller was heard in this term as leader.
     pub had_company: bool,
@@ -37,6 +41,7 @@
             txns: 0,
             retry_at: Micros(0),
             wrote_at: Micros(0),
+            contested: BTreeMap::new(),
             bucket: Bucket::new(changes * 0.45, changes * 0.4, now),
             had_company: false,
             vacant_since: None,
@@ -47,10 +52,50 @@
     /// Nothing of an earlier term is under way any more.
     pub fn take_up(&mut self, leader: Leader) {
         self.inflight.clear();
+        self.contested.clear();
         self.txns = 0;
         self.leader = Some(leader);
     }
 
+    /// A transaction failed on these keys. The mirror may only be behind, which
+    /// a moment mends; where it isn't, what needs the key must not hold up the
+    /// rest, so it is left out for longer each time.
+    pub fn contest(&mut self, failed: &[String], now: Micros) {
+        // Who fails no more is forgotten.
+        self.contested.retain(|_, (_, until)| now < *until + Micros::secs(10));
+        for key in failed {
+            let (times, until) = self.contested.entry(key.clone()).or_default();
+            *times += 1;
+            *until = now + Micros::millis(30 << (*times).min(8));
+        }
+    }
+
+    fn is_contested(&self, key: &str, now: Micros) -> bool {
+        self.contested.get(key).is_some_and(|(times, until)| *times > 1 && now < *until)
+    }
+
+    /// The write as far as its keys are not contested now.
+    pub fn uncontested(&self, w: LeaderWrite, now: Micros) -> Option<LeaderWrite> {
+        if self.contested.is_empty() {
+            return Some(w);
+        }
+        let free = |key: String| !self.is_contested(&key, now);
+        let good = match &w {
+            // Any of them can give the record its name.
+            LeaderWrite::Machines(ids) => {
+                let left: Vec<_> = ids.iter().filter(|id| free(keys::machines(id))).cloned().collect();
+                return (!left.is_empty()).then_some(LeaderWrite::Machines(left));
+            }
+            LeaderWrite::End(id) | LeaderWrite::Settle(id) => free(keys::end(*id)),
+            LeaderWrite::Fail(id, _) => free(keys::end(*id)) && free(keys::job(*id)),
+            LeaderWrite::Progress(id, c) => free(keys::progress(*id, *c)) && free(keys::end(*id)),
+            LeaderWrite::Failures(id, c) => free(keys::failed(*id, *c)) && free(keys::end(*id)),
+            LeaderWrite::Forget(key) => free(key.clone()),
+            LeaderWrite::Hire(_) => true,
+        };
+        good.then_some(w)
+    }
+
     /// These writes came back, whatever the answer.
     pub fn returned(&mut self, writes: &[LeaderWrite]) {
         self.txns = self.txns.saturating_sub(1);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1144,6 +1144,28 @@
     }
 }
 
+/// Records that a leader can never write, since what stands there is not its
+/// own, hold up no others: a leader once recorded no machine and no end any more
+/// for one such key.
+#[test]
+fn a_record_that_cant_be_written_holds_up_no_other() {
+    let mut w = World::new(3, true, SMALL);
+    // Unreadable to every controller, and there before any of them.
+    let keys = ["g/h/host-000000", "g/h/host-000003", "g/p/j-000002/0"];
+    let writes: Vec<Value> = keys.iter().map(|k| json!({"put": k, "v": {"not": "ours"}})).collect();
+    let m = json!({"when": [], "writes": writes}).to_string();
+    w.state.request("POST", "/multi", m.as_bytes(), 0);
+    // Without leaving them out it took until the machines behind them were
+    // given up.
+    w.run(30 * S);
+    assert!(w.completed > 5, "{} tasks completed in 30 s", w.completed);
+    w.run(SMALL.ends + 150 * S);
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    let late = w.late();
+    assert!(late.is_empty(), "{:?} are not over", w.describe(&late));
+    assert!(w.completed > 60, "{} tasks completed", w.completed);
+}
+
 /// Troubles of every kind, overlapping, for 170 s; then the world heals, and
 /// all arrays must get done.
 #[test]
