A request's namespace counts before its class is found

Found on reading the change again: a registration with ?namespace= was judged under the file's namespace and its class found again under the request's, so the head could name one class and team, the one that the token was held against, and the native jobs another; 'plan' and 'validate' ignored it. The namespace is now part of what a file is judged with, and the class is found once. A table test holds class, team and namespace together.

--- a/crates/nomad/src/hcl.rs
+++ b/crates/nomad/src/hcl.rs
@@ -14,6 +14,8 @@
     pub vars: BTreeMap<String, String>,
     /// Files of values, name and text; later ones count.
     pub files: Vec<(String, String)>,
+    /// The namespace of a job whose file names none.
+    pub namespace: Option<String>,
 }
 
 fn at(e: &impl Span, or: usize) -> usize {
--- a/crates/nomad/src/lib.rs
+++ b/crates/nomad/src/lib.rs
@@ -58,7 +58,11 @@
     } else {
         hcl::read(source, inputs, faults)
     };
-    block.and_then(|b| model::read(&b, faults))
+    let mut job = block.and_then(|b| model::read(&b, faults))?;
+    if let (Some(n), "default") = (&inputs.namespace, job.namespace.as_str()) {
+        job.namespace = n.clone();
+    }
+    Some(job)
 }
 
 /// Reads a file by its content, JSON if it begins with a brace, and checks it
--- a/crates/nomad/src/service/api.rs
+++ b/crates/nomad/src/service/api.rs
@@ -227,6 +227,10 @@
     pub fn namespace(&self) -> &str {
         self.q("namespace").unwrap_or("default")
     }
+    /// What the request says of a job in its body.
+    pub fn inputs(&self) -> Inputs {
+        Inputs { namespace: self.q("namespace").map(str::to_owned), ..Inputs::default() }
+    }
     /// Whether a team's job may be seen.
     pub fn may(&self, team: &str) -> bool {
         self.team.as_deref().is_none_or(|t| t == team)
@@ -534,7 +538,7 @@
     /// `POST /v1/validate/job`.
     fn validate(&mut self, r: &Request) {
         let Ok(text) = std::str::from_utf8(&r.body) else { return self.refuse(r.id, 400, "not UTF-8") };
-        let j = crate::judge(text, &Inputs::default(), &self.settings, &self.site);
+        let j = crate::judge(text, &r.inputs(), &self.settings, &self.site);
         let (errors, warnings): (Vec<_>, Vec<_>) =
             j.faults.list.iter().partition(|f| f.severity != Severity::Warning);
         let show = |l: &[&crate::tree::Fault]| l.iter().map(|f| f.to_string()).collect::<Vec<_>>();
@@ -547,7 +551,7 @@
     /// `POST /v1/job/ID/plan`: what registering would do; nothing is written.
     fn plan(&mut self, host: &Host<'_>, r: &Request) {
         let Ok(text) = std::str::from_utf8(&r.body) else { return self.refuse(r.id, 400, "not UTF-8") };
-        let j = crate::judge(text, &Inputs::default(), &self.settings, &self.site);
+        let j = crate::judge(text, &r.inputs(), &self.settings, &self.site);
         let Some(job) = j.job.as_ref().filter(|_| j.accepted()) else {
             return self.refuse(r.id, 400, &told(&j.faults));
         };
--- a/crates/nomad/src/service/register.rs
+++ b/crates/nomad/src/service/register.rs
@@ -10,10 +10,10 @@
     cut, hashes, names, payload_word,
 };
 use super::{Known, Pending, Service, revision, views, write};
+use crate::judge;
 use crate::model::Job;
 use crate::translate::{self, Planned};
 use crate::tree::{Faults, Severity};
-use crate::{Inputs, judge};
 use gorseshore_core::CallResult;
 use gorseshore_core::guest::{GuestOutput, Host};
 use gorseshore_core::jobs::{Phase, job_value, keys};
@@ -93,18 +93,14 @@
         if self.site.machines.is_empty() {
             return self.refuse(r.id, 503, "the machine types are not known yet");
         }
-        let mut judged = judge(text, &Inputs::default(), &self.settings, &self.site);
-        let Some(mut job) = judged.job.take().filter(|_| judged.faults.accepted()) else {
+        let mut judged = judge(text, &r.inputs(), &self.settings, &self.site);
+        let Some(job) = judged.job.take().filter(|_| judged.faults.accepted()) else {
             return self.refuse(r.id, 400, &told(&judged.faults));
         };
-        if let (Some(n), "default") = (r.q("namespace"), job.namespace.as_str()) {
-            job.namespace = n.to_owned();
-        }
-        // The path, if it names a job, and the body must mean the same one.
-        let Some(class) = translate::class(&job, &self.settings) else {
-            return self.refuse(r.id, 400, "no class takes the job in this namespace");
+        let class = translate::class(&job, &self.settings);
+        let Some((class, team)) = class.map(|c| (c.name.clone(), c.team.clone())) else {
+            return self.refuse(r.id, 400, "no class takes the job");
         };
-        let (class, team) = (class.name.clone(), class.team.clone());
         if !r.may(&team) {
             return self.refuse(r.id, 403, "Permission denied");
         }
--- a/crates/nomad/tests/samples.rs
+++ b/crates/nomad/tests/samples.rs
@@ -256,6 +256,7 @@
     let inputs = |vars: &[(&str, &str)], files: &[&str]| Inputs {
         vars: vars.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect(),
         files: files.iter().map(|t| ("f.hcl".to_owned(), t.to_string())).collect(),
+        namespace: None,
     };
     // (vars, files, count, words of a refusal)
     let cases: [(&[(&str, &str)], &[&str], u32, &str); 7] = [
@@ -278,6 +279,22 @@
     }
 }
 
+/// A request's namespace counts before the class is found: a token's team is
+/// held against the class whose team the tasks run under.
+#[test]
+fn a_namespace_from_outside_chooses_the_class() {
+    let text = "nomad { class { name: \"a\" team: \"a\" namespace: \"default\" } class { name: \"b\" team: \"b\" } }";
+    let settings = Operator::parse(text).unwrap().nomad.unwrap();
+    let source = sample("13-bare.json");
+    for (namespace, want) in [(None, "a"), (Some("default"), "a"), (Some("other"), "b")] {
+        let inputs = Inputs { namespace: namespace.map(str::to_owned), ..Inputs::default() };
+        let j = judge(&source, &inputs, &settings, &Site::default());
+        assert_eq!(j.class.as_deref(), Some(want), "{namespace:?}");
+        assert!(j.groups.iter().all(|p| p.spec.team == want), "{namespace:?}");
+        assert_eq!(j.job.unwrap().namespace, namespace.unwrap_or("default"));
+    }
+}
+
 /// What a field of this row may hold, as HCL and as JSON.
 fn value(row: &Row) -> Option<(String, Value)> {
     let text = |s: &str| Some((format!("\"{s}\"").replace("${", "$${").replace("$$$", "$"), json!(s)));
--- a/src/nomad.rs
+++ b/src/nomad.rs
@@ -199,7 +199,7 @@
 }
 
 fn inputs(vars: &[(String, String)], files: &[PathBuf]) -> Result<Inputs, String> {
-    let mut inputs = Inputs { vars: vars.iter().cloned().collect(), files: Vec::new() };
+    let mut inputs = Inputs { vars: vars.iter().cloned().collect(), ..Inputs::default() };
     for f in files {
         inputs.files.push((f.display().to_string(), text(f)?));
     }
