One piece where there were two: limits, names below the guest's space, headers, machines

Need: the change read once more repeated itself in places.

Change, no behaviour: whether a job is within its team's limit is asked of the team (natively and by Nomad's interface); conditions, puts and removals below the guest's space are made by one function each; the leader's reading of a content, the interface's headers, the site as the operators' file describes it and a stand-in's new machine each stand once. A purged job's next launch is forgotten with it.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -30,7 +30,7 @@
 use crate::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
 use gorseshore_protocol::cloud::{Flavors, Hire, Hosts, Rentals};
 use gorseshore_protocol::ids::{JobId, MachineId, Micros, NodeId, OWN_IDS, Resources};
-use gorseshore_protocol::job::{JobSpec, Kind};
+use gorseshore_protocol::job::JobSpec;
 use gorseshore_protocol::state::{Grant, Listing, Multi, MultiAnswer, News, When, Write};
 use gorseshore_protocol::users;
 use gorseshore_protocol::workers::{CheckinAnswer, Report};
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -130,9 +130,7 @@
         let Some(team) = self.teams.iter().find(|t| t.name == s.team) else {
             return Err((422, format!("unknown team {}", s.team)));
         };
-        let n = if s.kind == Kind::Service { s.tasks as u64 } else { 1 };
-        let max = Resources::have(team.cpus_max, team.gpus_max, 0.0);
-        if max.cpu > 0 && s.need.cpu * n > max.cpu || max.gpu > 0 && s.need.gpu * n > max.gpu {
+        if !team.could_run(&s) {
             return Err((422, format!("more than the limit of team {}", s.team)));
         }
         if self.market.flavors.is_empty() {
--- a/crates/nomad/src/service/api.rs
+++ b/crates/nomad/src/service/api.rs
@@ -498,15 +498,8 @@
         };
         let next = rows.get(per).map(|(k, _)| k.clone());
         let body: Vec<Value> = rows.into_iter().take(per).map(|(_, v)| v).collect();
-        let mut headers = vec![
-            ("X-Nomad-Index", index.to_string()),
-            ("X-Nomad-KnownLeader", "true".into()),
-            ("X-Nomad-LastContact", "0".into()),
-        ];
-        headers.extend(next.map(|n| ("X-Nomad-NextToken", n)));
-        let body = Value::Array(body).to_string().into_bytes();
-        let answer = gorseshore_core::guest::Answer { status: 200, headers, body };
-        self.out.push(GuestOutput::Answer(r.id, answer));
+        let headers = next.map(|n| ("X-Nomad-NextToken", n)).into_iter().collect();
+        self.answer_with(r.id, 200, index, headers, &Value::Array(body));
     }
 
     pub(crate) fn read_content(&mut self, key: &JobKey, nonce: String, request: Request) {
--- a/crates/nomad/src/service/launches.rs
+++ b/crates/nomad/src/service/launches.rs
@@ -3,13 +3,13 @@
 //! both conditions of one transaction under the leader's key. Whatever leaders
 //! come and go, and whatever the clock does, a time is launched once; of times
 //! that were missed only the last is made up.
+use super::Service;
 use super::api::{Request, Route};
-use super::records::{Head, JobKey, names};
+use super::records::{Head, JobKey};
 use super::register::{Wish, child_content};
-use super::{Pending, Service};
 use crate::cron;
 use gorseshore_core::RequestId;
-use gorseshore_core::guest::{GuestOutput, Host};
+use gorseshore_core::guest::Host;
 use gorseshore_protocol::ids::Micros;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -72,9 +72,7 @@
                 continue;
             }
             let Some(content) = self.contents.get(&known.head.nonce).cloned() else {
-                self.busy.insert(key.clone());
-                let ticket = self.ticket(Pending::Load(key.clone(), known.head.nonce.clone()));
-                self.out.push(GuestOutput::Read(ticket, names::parts(&key, &known.head.nonce)));
+                self.load(&key, &known.head.nonce);
                 // Looked at again as soon as it is here.
                 self.launch_second = 0;
                 continue;
--- a/crates/nomad/src/service/mod.rs
+++ b/crates/nomad/src/service/mod.rs
@@ -146,8 +146,19 @@
     }
 
     pub(crate) fn answer(&mut self, id: RequestId, status: u16, index: u64, body: &Value) {
-        let mut headers =
-            vec![("X-Nomad-KnownLeader", "true".to_owned()), ("X-Nomad-LastContact", "0".into())];
+        self.answer_with(id, status, index, Vec::new(), body);
+    }
+
+    pub(crate) fn answer_with(
+        &mut self,
+        id: RequestId,
+        status: u16,
+        index: u64,
+        mut headers: Vec<(&'static str, String)>,
+        body: &Value,
+    ) {
+        headers.push(("X-Nomad-KnownLeader", "true".into()));
+        headers.push(("X-Nomad-LastContact", "0".into()));
         if index > 0 {
             headers.push(("X-Nomad-Index", index.to_string()));
         }
@@ -195,6 +206,7 @@
         let Some(head) = head else {
             if let Some(old) = self.heads.remove(&key) {
                 self.changed = self.changed.max(stamp);
+                self.next_launch.remove(&key);
                 self.event("JobDeregistered", &old.head, stamp);
             }
             return;
@@ -269,7 +281,7 @@
     }
 }
 
-/// A write by the leader.
+/// A write, under the leader's key or not.
 pub(crate) fn write(ticket: Ticket, multi: Multi, as_leader: bool) -> GuestOutput {
     GuestOutput::Write { ticket, multi, as_leader }
 }
--- a/crates/nomad/src/service/reconcile.rs
+++ b/crates/nomad/src/service/reconcile.rs
@@ -4,7 +4,7 @@
 //! it and on the record that it changes: whatever comes late, or from a leader
 //! that is none any more, fails.
 use super::records::{Head, JobKey, names};
-use super::register::put;
+use super::register::{put, remove, when};
 use super::{Known, Pending, Service, write};
 use gorseshore_core::guest::{GuestOutput, Host};
 use gorseshore_core::jobs::{Phase, description, job_value, keys};
@@ -53,10 +53,7 @@
 
     fn reconcile(&mut self, host: &Host<'_>, key: &JobKey, known: &Known) {
         let head = &known.head;
-        let mut m = Multi {
-            when: vec![When { path: format!("{}{}", keys::GUEST, names::head(key)), stamp: known.stamp }],
-            writes: Vec::new(),
-        };
+        let mut m = Multi { when: vec![when(names::head(key), known.stamp)], writes: Vec::new() };
         // The leader's key is a condition more.
         let room =
             |m: &Multi| m.writes.len() < host.changes_at_once && m.when.len() + 3 < host.changes_at_once * 4;
@@ -83,9 +80,7 @@
                     None => {
                         let Some(content) = self.contents.get(&head.nonce).cloned() else {
                             // What it is made of has to be read first.
-                            self.busy.insert(key.clone());
-                            let ticket = self.ticket(Pending::Load(key.clone(), head.nonce.clone()));
-                            return self.out.push(GuestOutput::Read(ticket, names::parts(key, &head.nonce)));
+                            return self.load(key, &head.nonce);
                         };
                         let spec = content.specs.get(&g.name).and_then(|r| description(id, r));
                         let Some(mut spec) = spec else {
@@ -121,9 +116,9 @@
             }
         }
         if m.writes.is_empty() && head.purge && !left {
-            m.writes.push(Write::Remove { remove: format!("{}{}", keys::GUEST, names::head(key)) });
+            m.writes.push(remove(&names::head(key)));
             if self.launches.contains_key(key) {
-                m.writes.push(Write::Remove { remove: format!("{}{}", keys::GUEST, names::launch(key)) });
+                m.writes.push(remove(&names::launch(key)));
             }
         }
         if m.writes.is_empty() {
@@ -134,6 +129,13 @@
         self.out.push(write(ticket, m, true));
     }
 
+    /// Reads a job's content for the leader's work on it.
+    pub(crate) fn load(&mut self, key: &JobKey, nonce: &str) {
+        self.busy.insert(key.clone());
+        let ticket = self.ticket(Pending::Load(key.clone(), nonce.to_owned()));
+        self.out.push(GuestOutput::Read(ticket, names::parts(key, nonce)));
+    }
+
     /// Removes parts that no head names: of registrations that were not
     /// finished, of versions that are no longer kept, of jobs that are gone.
     fn sweep(&mut self, host: &Host<'_>) {
@@ -156,8 +158,7 @@
         if gone.is_empty() {
             return;
         }
-        let remove = |n: String| Write::Remove { remove: format!("{}p/{n}", keys::GUEST) };
-        let writes = gone.into_iter().map(remove).collect();
+        let writes = gone.into_iter().map(|n| remove(&format!("p/{n}"))).collect();
         let ticket = self.ticket(Pending::Sweep);
         self.out.push(write(ticket, Multi { when: Vec::new(), writes }, true));
     }
@@ -166,10 +167,7 @@
     pub(crate) fn pass_over(&mut self, key: &JobKey, known: &Known, ms: u64) {
         let stamp = self.launches.get(key).map_or(0, |l| l.1);
         let m = Multi {
-            when: vec![
-                When { path: format!("{}{}", keys::GUEST, names::head(key)), stamp: known.stamp },
-                When { path: format!("{}{}", keys::GUEST, names::launch(key)), stamp },
-            ],
+            when: vec![when(names::head(key), known.stamp), when(names::launch(key), stamp)],
             writes: vec![put(&names::launch(key), json!(ms))],
         };
         self.busy.insert(key.clone());
--- a/crates/nomad/src/service/register.rs
+++ b/crates/nomad/src/service/register.rs
@@ -120,7 +120,7 @@
             let Some(team) = host.teams.iter().find(|t| t.name == p.spec.team) else {
                 return Err(format!("this site has no team {}", p.spec.team));
             };
-            if !views::fits_limit(&p.spec, team) {
+            if !team.could_run(&p.spec) {
                 return Err(format!("group {}: more than the limit of team {}", p.group, team.name));
             }
         }
@@ -539,24 +539,24 @@
         r.step = Step::Head;
         let Some(head) = &r.head else { return };
         let target = head.key();
-        let mut when = vec![At(names::head(&r.key), r.seen).into()];
+        let mut conditions = vec![when(names::head(&r.key), r.seen)];
         let mut writes = vec![put(&names::head(&target), json!(head))];
-        when.extend(r.written.iter().map(|(name, stamp)| When::from(At(name.clone(), *stamp))));
+        conditions.extend(r.written.iter().map(|(name, stamp)| when(name.clone(), *stamp)));
         if let Wish::Child { launched, token, id, .. } = &r.wish {
-            when.push(At(names::head(&target), 0).into());
+            conditions.push(when(names::head(&target), 0));
             if let Some(ms) = launched {
                 let stamp = self.launches.get(&r.key).map_or(0, |l| l.1);
-                when.push(At(names::launch(&r.key), stamp).into());
+                conditions.push(when(names::launch(&r.key), stamp));
                 writes.push(put(&names::launch(&r.key), json!(ms)));
             }
             if let Some(t) = token {
-                when.push(At(names::token(t), 0).into());
+                conditions.push(when(names::token(t), 0));
                 writes.push(put(&names::token(t), json!(id)));
             }
         }
         let by_leader = r.by_leader;
         let ticket = self.ticket(Pending::Register(Box::new(r)));
-        self.out.push(write(ticket, Multi { when, writes }, by_leader));
+        self.out.push(write(ticket, Multi { when: conditions, writes }, by_leader));
     }
 
     /// A write of a change ended.
@@ -647,11 +647,9 @@
     head.earlier.truncate(VERSIONS_KEPT);
 }
 
-struct At(String, u64);
-impl From<At> for When {
-    fn from(a: At) -> When {
-        When { path: format!("{}{}", keys::GUEST, a.0), stamp: a.1 }
-    }
+/// A condition on a name below the guest's space.
+pub(crate) fn when(name: String, stamp: u64) -> When {
+    When { path: format!("{}{name}", keys::GUEST), stamp }
 }
 
 /// A put below the guest's space.
@@ -659,6 +657,11 @@
     Write::Put { put: format!("{}{name}", keys::GUEST), v, hold: None }
 }
 
+/// A removal below the guest's space.
+pub(crate) fn remove(name: &str) -> Write {
+    Write::Remove { remove: format!("{}{name}", keys::GUEST) }
+}
+
 fn warnings(faults: &Faults) -> String {
     let lines = faults.list.iter().filter(|f| f.severity == Severity::Warning).map(|f| f.to_string());
     lines.collect::<Vec<_>>().join("\n")
--- a/crates/nomad/src/service/views.rs
+++ b/crates/nomad/src/service/views.rs
@@ -7,8 +7,6 @@
 use gorseshore_core::guest::Host;
 use gorseshore_core::jobs::{Job, MachineRecord, Phase};
 use gorseshore_protocol::ids::{JobId, MachineId, Resources};
-use gorseshore_protocol::job::{JobSpec, Kind};
-use gorseshore_settings::Team;
 use serde_json::{Map, Value, json};
 use uuid::Uuid;
 
@@ -248,13 +246,6 @@
     json!({"Name": name, "Description": "", "Quota": ""})
 }
 
-/// Whether one task of an array, or all of a service, is within its team's limit.
-pub(crate) fn fits_limit(spec: &JobSpec, team: &Team) -> bool {
-    let n = if spec.kind == Kind::Service { spec.tasks as u64 } else { 1 };
-    let max = Resources::have(team.cpus_max, team.gpus_max, 0.0);
-    (max.cpu == 0 || spec.need.cpu * n <= max.cpu) && (max.gpu == 0 || spec.need.gpu * n <= max.gpu)
-}
-
 /// What registering would do, and why some of it would have to wait.
 pub(crate) fn plan(host: &Host<'_>, known: Option<&Known>, groups: &[Planned], faults: &Faults) -> Value {
     let (mut desired, mut failed) = (Map::new(), Map::new());
--- a/crates/nomad/src/translate.rs
+++ b/crates/nomad/src/translate.rs
@@ -9,7 +9,7 @@
 use globset::Glob;
 use gorseshore_protocol::ids::{JobId, Resources};
 use gorseshore_protocol::job::{JobSpec, Kind, Preference, Rank};
-use gorseshore_settings::{Nomad, NomadClass};
+use gorseshore_settings::{Nomad, NomadClass, NomadMachine};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine type in a zone, as constraints see it.
@@ -34,6 +34,19 @@
     pub teams: Vec<String>,
 }
 
+impl Site {
+    /// The site as the operators' file describes it; its teams are not known.
+    pub fn described(settings: &Nomad) -> Self {
+        let kind = |m: &NomadMachine| MachineKind {
+            name: m.name.clone(),
+            zone: m.zone.clone(),
+            cpus: m.cpus,
+            memory_gb: m.memory_gb,
+        };
+        Site { machines: settings.machines.iter().map(kind).collect(), teams: Vec::new() }
+    }
+}
+
 /// A group as a native job; its id is given when it is recorded.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Planned {
--- a/crates/nomad/tests/samples.rs
+++ b/crates/nomad/tests/samples.rs
@@ -1,6 +1,6 @@
 //! The project's own job files, and the table of the specification, walked.
 use gorseshore_nomad::table::{ROWS, Row, Shape, Verdict, last, markdown};
-use gorseshore_nomad::translate::{MachineKind, Site, rank};
+use gorseshore_nomad::translate::{Site, rank};
 use gorseshore_nomad::tree::Severity;
 use gorseshore_nomad::{Inputs, Judgement, judge};
 use gorseshore_protocol::job::{Kind, Rank};
@@ -15,13 +15,7 @@
 }
 
 fn site(n: &Nomad) -> Site {
-    let kind = |m: &gorseshore_settings::NomadMachine| MachineKind {
-        name: m.name.clone(),
-        zone: m.zone.clone(),
-        cpus: m.cpus,
-        memory_gb: m.memory_gb,
-    };
-    Site { machines: n.machines.iter().map(kind).collect(), teams: vec!["default".into()] }
+    Site { teams: vec!["default".into()], ..Site::described(n) }
 }
 
 fn judged(source: &str, inputs: &Inputs) -> Judgement {
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -1,5 +1,7 @@
 //! The file that the platform hands over.
 use super::SettingsError;
+use gorseshore_protocol::ids::Resources;
+use gorseshore_protocol::job::{JobSpec, Kind};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -22,6 +24,16 @@
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// Whether a job could ever run within the team's limit: one task of an
+    /// array, all of a service. 0 is no limit.
+    pub fn could_run(&self, s: &JobSpec) -> bool {
+        let n = if s.kind == Kind::Service { s.tasks as u64 } else { 1 };
+        let max = Resources::have(self.cpus_max, self.gpus_max, 0.0);
+        (max.cpu == 0 || s.need.cpu * n <= max.cpu) && (max.gpu == 0 || s.need.gpu * n <= max.gpu)
+    }
+}
+
 /// What is expected of a class of jobs.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -355,27 +355,7 @@
 /// Starts a machine: it serves `/do` and `/status`, and reports.
 fn start_machine(name: &str, h: &Hire, shared: &Arc<Shared>) -> std::io::Result<Rented> {
     let cpus = flavors().iter().find(|f| f.sku == h.build).map_or(1.0, |f| f.cpus);
-    let machine = Machine {
-        name: name.to_owned(),
-        build: h.build.clone(),
-        zone: h.yard.clone(),
-        spot: h.loaners,
-        cpus,
-        up_at: 0,
-        hung_until: 0,
-        cut_until: 0,
-        sick: false,
-        shift: 1,
-        tally: 0,
-        baton: 0,
-        tasks: Vec::new(),
-        report_to: 0,
-        next_report: 0,
-        open: None,
-        lease_from: shared.now(),
-        last_sent: 0,
-        changed: false,
-    };
+    let machine = Machine::new(name, (&h.build, &h.yard, h.loaners), cpus, shared.now());
     let machine = Arc::new(Mutex::new(machine));
     let (direct, at) = (machine.clone(), shared.clone());
     let addr = serve(Arc::new(move |_, path, body| {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -89,6 +89,31 @@
 }
 
 impl Machine {
+    /// A machine that is up at a time; nothing runs on it.
+    pub fn new(name: &str, (build, zone, spot): (&str, &str, bool), cpus: f64, up_at: u64) -> Self {
+        Machine {
+            name: name.to_owned(),
+            build: build.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            cpus,
+            up_at,
+            hung_until: 0,
+            cut_until: 0,
+            sick: false,
+            shift: 1,
+            tally: 0,
+            baton: 0,
+            tasks: Vec::new(),
+            report_to: 0,
+            next_report: up_at,
+            open: None,
+            lease_from: up_at,
+            last_sent: 0,
+            changed: false,
+        }
+    }
+
     /// The report as of now; each has a number of its own.
     pub fn report(&mut self) -> Report {
         self.tally += 1;
--- a/src/nomad.rs
+++ b/src/nomad.rs
@@ -2,10 +2,9 @@
 use clap::{Args, Subcommand};
 use gorseshore_nomad::service::records::api_job;
 use gorseshore_nomad::service::tokens;
-use gorseshore_nomad::translate::{MachineKind, Site};
+use gorseshore_nomad::translate::Site;
 use gorseshore_nomad::tree::Severity;
 use gorseshore_nomad::{Inputs, Judgement, judge, table};
-use gorseshore_settings::Nomad;
 use gorseshore_shell::http;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::{Value, json};
@@ -314,21 +313,6 @@
     read.map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// The site as the operators' file describes it.
-fn site(n: &Nomad) -> Site {
-    let machines = n
-        .machines
-        .iter()
-        .map(|m| MachineKind {
-            name: m.name.clone(),
-            zone: m.zone.clone(),
-            cpus: m.cpus,
-            memory_gb: m.memory_gb,
-        })
-        .collect();
-    Site { machines, teams: Vec::new() }
-}
-
 fn check(c: &Check) -> ExitCode {
     let settings = match crate::operator(c.operator_config.as_deref()) {
         Ok(o) => o.nomad,
@@ -350,7 +334,7 @@
             return ExitCode::from(2);
         }
     };
-    let site = site(&settings);
+    let site = Site::described(&settings);
     let mut worst = 0;
     let mut documents = Vec::new();
     for path in &c.files {
--- a/tests/nomad.rs
+++ b/tests/nomad.rs
@@ -367,16 +367,7 @@
     let mut files: Vec<_> = std::fs::read_dir(dir).unwrap().map(|f| f.unwrap().path()).collect();
     files.sort();
     let operator = gorseshore_settings::Operator::parse(SETTINGS).unwrap().nomad.unwrap();
-    let kind = |m: &gorseshore_settings::NomadMachine| gorseshore_nomad::translate::MachineKind {
-        name: m.name.clone(),
-        zone: m.zone.clone(),
-        cpus: m.cpus,
-        memory_gb: m.memory_gb,
-    };
-    let known = gorseshore_nomad::translate::Site {
-        machines: operator.machines.iter().map(kind).collect(),
-        teams: Vec::new(),
-    };
+    let known = gorseshore_nomad::translate::Site::described(&operator);
     let (mut seen, mut number, mut pairs) = (0, 100, Vec::new());
     for f in files {
         let source = std::fs::read_to_string(&f).unwrap();
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -389,27 +389,9 @@
             _ if self.now < self.late_boots_until => self.rng.u64(20 * S..90 * S),
             _ => self.rng.u64(5 * S..12 * S),
         };
-        let m = Machine {
-            name: name.clone(),
-            build: build.into(),
-            zone: zone.into(),
-            spot,
-            cpus: if build == "small" { 4.0 } else { 16.0 },
-            up_at: self.now + boot,
-            hung_until: 0,
-            cut_until: 0,
-            sick: false,
-            shift: 1,
-            tally: 0,
-            baton: 0,
-            tasks: Vec::new(),
-            report_to: self.rng.usize(0..self.size.nodes),
-            next_report: self.now + boot,
-            open: None,
-            lease_from: self.now + boot,
-            last_sent: 0,
-            changed: false,
-        };
+        let cpus = if build == "small" { 4.0 } else { 16.0 };
+        let mut m = Machine::new(&name, (build, zone, spot), cpus, self.now + boot);
+        m.report_to = self.rng.usize(0..self.size.nodes);
         self.machines.insert(name.clone(), m);
         self.born.insert(name.clone(), self.now);
         name
