--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -17,6 +17,7 @@
                 m.busy += m.used.cpu as u128 * passed.0 as u128;
             }
             self.drain_warned(now);
+            self.watch_zones(now);
             self.return_idle(flavors, now);
             if now >= self.rent_not_before {
                 self.plan_hires(flavors, now);
@@ -168,6 +169,43 @@
         }
     }
 
+    /// Closes zones of which nothing is heard, and opens them again.
+    fn watch_zones(&mut self, now: Micros) {
+        let mut sights: BTreeMap<String, Sight> = BTreeMap::new();
+        for (id, m) in &self.machines {
+            let seen = self.last_seen.get(id).map(|x| x.1);
+            let sight = match sights.get_mut(&m.zone) {
+                Some(s) => s,
+                None => sights.entry(m.zone.clone()).or_default(),
+            };
+            sight.up += (m.stage == Stage::Up) as u32;
+            // Also of one that is being deleted: it is the way that counts.
+            sight.heard = sight.heard.max(m.heard.max(seen));
+        }
+        // All of a zone's workers report in a quarter more than this.
+        let patience = self.ctx.report.max(Micros::secs(4)) + Micros::secs(2);
+        for turn in self.health.look(&sights, self.began + Micros::secs(2), patience, now) {
+            self.dirty = true;
+            match turn {
+                Turn::Closed(zone, up, silent) => warn!(
+                    "zone {zone} is closed to renting: nothing of its {up} machines for {:.1} s, while others are heard",
+                    silent.as_secs_f64()
+                ),
+                Turn::Opened(zone, after) => {
+                    info!("zone {zone} is open to renting again after {:.1} s", after.as_secs_f64())
+                }
+            }
+        }
+    }
+
+    /// How many more machines may be asked for in a zone; no bound while it is open.
+    fn probes_left(&self, zone: &str, now: Micros) -> Option<u32> {
+        let allowed = self.health.allowed(zone, now)?;
+        let booting = self.machines.values().filter(|m| m.stage == Stage::Booting && m.zone == zone).count();
+        let asked: u32 = self.hires.values().filter(|(r, ..)| r.zone == zone).map(|(r, ..)| r.count).sum();
+        Some(allowed.saturating_sub(booting as u32 + asked))
+    }
+
     pub(super) fn drain_warned(&mut self, now: Micros) {
         // Work that can be saved is saved before the cloud takes the machine.
         let mut stops = Vec::new();
@@ -261,7 +299,8 @@
     /// runs, or a start from nothing would be taken for the usual flow.
     fn spare_targets(&self, now: Micros) -> BTreeMap<String, u64> {
         let least = (self.ctx.operator.spare_cpus * 1000.0) as u64;
-        let zones: BTreeSet<&String> = self.machines.values().map(|m| &m.zone).collect();
+        let all = self.machines.values().map(|m| &m.zone);
+        let zones: BTreeSet<&String> = all.filter(|z| !self.health.is_closed(z)).collect();
         let minute_ago = self.wall_ms(now).saturating_sub(60_000);
         let (mut largest, mut recent, mut running) = (0, 0, 0);
         let services = |r: &&Run| r.spec.kind == Kind::Service && r.spec.rank == Rank::Production && !r.over;
@@ -310,7 +349,7 @@
         let mut rooms: Vec<Room> = self
             .machines
             .values()
-            .filter(|m| m.draining.is_none() && m.warning.is_none())
+            .filter(|m| m.draining.is_none() && m.warning.is_none() && !self.health.is_closed(&m.zone))
             .filter(|m| m.stage == Stage::Booting || (m.stage == Stage::Up && (m.confirmed || !m.unknown)))
             .filter(|m| {
                 // One that is late may never come.
@@ -326,7 +365,7 @@
                 lent: if m.spot { 0 } else { self.lent(m) },
             })
             .collect();
-        for (r, ..) in self.hires.values() {
+        for (r, ..) in self.hires.values().filter(|(r, ..)| !self.health.is_closed(&r.zone)) {
             if let Some(f) = flavors.iter().find(|f| f.sku == r.build) {
                 let size = Resources::have(f.cpus, f.gpus, f.memory_gb);
                 for _ in 0..r.count {
@@ -346,7 +385,7 @@
         let mut running = 0.0;
         for r in self.jobs.values() {
             if r.spec.kind == Kind::Array {
-                running += r.bound.len() as f64;
+                running += self.ends_soon(r) as f64;
             }
             let waiting = r.waiting();
             // A job that fails wherever it is gets no more machines; one whose
@@ -375,7 +414,28 @@
         if std::mem::replace(&mut self.fleet_full, full) != full && full {
             warn!("max_machines is reached: work waits and nothing more is rented");
         }
-        for (w, n) in fleet::plan(rooms, &demands, &offers, &policy) {
+        // A closed zone is tried with a few machines, and only where the work
+        // would want them there.
+        let mut wants = BTreeMap::new();
+        if self.health.any_closed() {
+            let (closed, open): (Vec<Offer>, Vec<Offer>) =
+                offers.iter().cloned().partition(|o| self.health.is_closed(&o.zone));
+            let mut left: BTreeMap<String, u32> = closed
+                .iter()
+                .filter_map(|o| Some((o.zone.clone(), self.probes_left(&o.zone, now)?)))
+                .collect();
+            if left.values().any(|n| *n > 0) {
+                for (w, n) in fleet::plan(rooms.clone(), &demands, &offers, &policy) {
+                    let Some(left) = left.get_mut(&w.zone).filter(|l| **l > 0) else { continue };
+                    let n = n.min(*left);
+                    *left -= n;
+                    wants.insert(w, n);
+                }
+            }
+            offers = open;
+        }
+        wants.extend(fleet::plan(rooms, &demands, &offers, &policy));
+        for (w, n) in wants {
             self.hire_count += 1;
             let name = format!("g-{}-{}", self.term, self.hire_count);
             let req = HireRequest {
@@ -389,6 +449,16 @@
         }
     }
 
+    /// Tasks of an array whose ends will be heard: where nothing is heard,
+    /// nothing ends.
+    fn ends_soon(&self, r: &Run) -> usize {
+        if !self.health.any_closed() {
+            return r.bound.len();
+        }
+        let lost = |id: &MachineId| self.machines.get(id).is_some_and(|m| self.health.is_closed(&m.zone));
+        r.bound.values().filter(|b| b.on.is_empty() || !b.on.iter().all(lost)).count()
+    }
+
     /// Leaves of what waits, in the order in which it is served, only what the
     /// teams' limits let start: a machine for the rest would stand idle.
     pub(super) fn keep_to_limits(&self, demands: &mut Vec<Demand>) {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -2,6 +2,7 @@
 //! each task is bound, and what goes next.
 mod bindings;
 mod blocks;
+pub mod health;
 mod machines;
 mod records;
 mod schedule;
@@ -12,6 +13,7 @@
 use crate::fair_queue::FairQueue;
 use crate::fleet::{self, Demand, Offer, Policy, Room};
 use crate::jobs::{Failures, Job, Ledger, MachineRecord, Phase, TaskSet};
+use crate::leader::health::{Health, Sight, Turn};
 use crate::peer::{GrantedMachine, HandOut, MachineState, Message, Outcome, StopRequest, TaskState};
 use crate::placement::{self, Candidate};
 use gorseshore_protocol::cloud::{Flavor, Rental};
@@ -489,6 +491,8 @@
     stops: BTreeMap<(TaskId, Attempt), (StopRequest, Micros)>,
     hires: BTreeMap<String, (HireRequest, HireStage, Micros)>,
     refused: BTreeMap<(String, String, bool), Micros>,
+    /// Zones, as far as they are heard.
+    health: Health,
     /// Something changed: schedule.
     pub dirty: bool,
     fleet_at: Micros,
@@ -546,6 +550,7 @@
             stops: BTreeMap::new(),
             hires: BTreeMap::new(),
             refused: BTreeMap::new(),
+            health: Health::default(),
             dirty: true,
             fleet_at: now,
             measured: now,
