--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -29,8 +29,10 @@
 const AGAIN: Micros = Micros::millis(200);
 /// The same for the whole books.
 const WHOLE_AGAIN: Micros = Micros::millis(900);
-/// Books go out no more often than this.
+/// Books that a hand-out waits for go out no more often than this.
 const PACE: Micros = Micros::millis(10);
+/// The same for other changes, which may come late.
+const LAZY: Micros = Micros::millis(400);
 /// Most witnesses.
 const MOST: usize = 3;
 
@@ -178,6 +180,8 @@
     pending: Vec<Witnesses>,
     writing: bool,
     write_at: Micros,
+    /// The last change that a hand-out waits for.
+    waited: u64,
     /// The last change that left with a hand-out: who lacks it, or anything
     /// before it, can't become a witness.
     released: u64,
@@ -200,6 +204,7 @@
             pending: Vec::new(),
             writing: false,
             write_at: Micros(0),
+            waited: 1,
             released: 1,
             moved: false,
         }
@@ -217,6 +222,12 @@
         self.seq
     }
 
+    /// A task was handed out; the change that has to be covered before it goes.
+    pub fn hand_out(&mut self, task: TaskId) -> u64 {
+        self.waited = self.note(task);
+        self.waited
+    }
+
     /// Takes the record as the mirror shows it now. What was seen once counts
     /// against an older sight of it.
     pub fn recorded(&mut self, record: &Witnesses, stamp: u64) {
@@ -263,9 +274,9 @@
         if r.incarnation != incarnation || seq <= r.acked || seq > self.seq {
             return;
         }
+        self.moved |= r.acked < self.waited;
         r.acked = seq;
         r.owes = (r.sent > seq).then_some(now);
-        self.moved = true;
     }
 
     /// Who should be a witness: of those at hand, of as many zones as there
@@ -315,8 +326,9 @@
             }
             let since = now.since(r.sent_at);
             let again = if r.acked == 0 { WHOLE_AGAIN } else { AGAIN };
-            let news = self.seq > r.sent && since >= PACE && (r.acked > 0 || r.sent == 0);
-            let owed = r.acked < self.seq && since >= again;
+            let pace = if self.waited > r.sent { PACE } else { LAZY };
+            let news = self.seq > r.sent && since >= pace && (r.acked > 0 || r.sent == 0);
+            let owed = r.acked < r.sent && since >= again;
             if !news && !owed {
                 continue;
             }
@@ -467,7 +479,7 @@
         l.write_ended();
         l.recorded(&both, 60);
         assert_eq!(covered(&l), Some(1));
-        let seq = l.note(task(1));
+        let seq = l.hand_out(task(1));
         now = now + Micros::millis(20);
         assert_eq!(l.due(me, &names, &zones, &[n1, n2], now).len(), 2);
         l.taken(n1.0, 7, seq, now);
@@ -506,7 +518,7 @@
         l.taken(n1.0, 7, 1, began);
         let none = Witnesses { term: 4, led: 4, nodes: Vec::new() };
         l.recorded(&none, 60);
-        let at = l.note(task(1));
+        let at = l.hand_out(task(1));
         assert!(l.covered(&names).unwrap() >= at, "nobody is waited for");
         l.release(at);
         let soon = began + Micros::millis(100);
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -52,9 +52,10 @@
         Page { term: self.term, seq: self.books.seq(), base, tasks, unknown }
     }
 
-    /// A witness has taken the books.
-    pub fn books_taken(&mut self, from: NodeId, incarnation: u64, seq: u64, now: Micros) {
+    /// A witness has taken the books; whether hand-outs may be free to go.
+    pub fn books_taken(&mut self, from: NodeId, incarnation: u64, seq: u64, now: Micros) -> bool {
         self.books.taken(from, incarnation, seq, now);
+        self.books.moved
     }
 
     /// The record of witnesses to write now, over which version.
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -380,7 +380,7 @@
             m.images.insert(run.spec.image.clone());
             m.idle_since = None;
         }
-        let at = self.books.note(task);
+        let at = self.books.hand_out(task);
         self.handouts.insert(attempt, (node, out, at));
         if let Some(n) = self.nodes.get_mut(node.0 as usize) {
             n.dirty = true;
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -171,9 +171,12 @@
                 self.out.send(from, Message::BooksTaken { term, seq });
             }
             Message::BooksTaken { term, seq } => {
-                if let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term) {
-                    l.books_taken(from, incarnation, seq, self.now);
-                    self.lead();
+                let may = self.office.election.may_lead(self.now);
+                if let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term)
+                    && l.books_taken(from, incarnation, seq, self.now)
+                {
+                    let messages = l.messages(self.now, may);
+                    messages.into_iter().for_each(|(to, m)| self.send(to, m));
                 }
             }
             Message::BooksWanted { term } => {
