Books: constants kept, not handed along; one lookup of a witness; twins made one

A term's names, zones and leader went through four calls each time, a witness's name was looked up in three places, a page was taken by making a keeper round one book, the zone-rule question stood in three places, closed zones' booting machines were counted once an offer instead of once a zone, and progress and failure keys were parsed by the same lines twice.

--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -114,33 +114,35 @@
     }
     /// From a page that is whole.
     pub fn of(page: Page) -> Option<Book> {
-        let mut kept = Kept::default();
-        let term = page.term;
-        (page.base == 0).then(|| kept.take(page))?;
-        kept.books.remove(&term)
+        let mut book = Book::default();
+        (page.base == 0).then(|| book.take(page))?;
+        Some(book)
     }
-}
-
-impl Kept {
     /// Takes a page; the number to acknowledge. One that builds on what was
     /// not taken is left, and what was taken is acknowledged again.
-    pub fn take(&mut self, page: Page) -> u64 {
-        let book = self.books.entry(page.term).or_default();
-        if page.seq <= book.seq || page.base > book.seq {
-            return book.seq;
+    fn take(&mut self, page: Page) -> u64 {
+        if page.seq <= self.seq || page.base > self.seq {
+            return self.seq;
         }
         if page.base == 0 {
-            book.tasks.clear();
+            self.tasks.clear();
         }
         for (task, entry) in page.tasks {
             match entry {
-                Some(e) => book.tasks.insert(task, e),
-                None => book.tasks.remove(&task),
+                Some(e) => self.tasks.insert(task, e),
+                None => self.tasks.remove(&task),
             };
         }
-        book.unknown = page.unknown.into_iter().collect();
-        book.seq = page.seq;
-        book.seq
+        self.unknown = page.unknown.into_iter().collect();
+        self.seq = page.seq;
+        self.seq
+    }
+}
+
+impl Kept {
+    /// Takes a page into the books of its term; the number to acknowledge.
+    pub fn take(&mut self, page: Page) -> u64 {
+        self.books.entry(page.term).or_default().take(page)
     }
     /// The books of a term, if any are here.
     pub fn get(&self, term: u64) -> Option<&Book> {
@@ -167,6 +169,10 @@
 #[derive(Debug)]
 pub struct Ledgers {
     term: u64,
+    /// The leader, and all controllers' names and zones.
+    me: NodeId,
+    names: Vec<String>,
+    zones: Vec<String>,
     /// Number of the last change.
     seq: u64,
     log: VecDeque<(u64, TaskId)>,
@@ -191,14 +197,24 @@
 
 impl Ledgers {
     /// For a term; `record` as its leader's mirror has it.
-    pub fn new(term: u64, nodes: usize, record: Witnesses, stamp: u64) -> Self {
+    pub fn new(
+        term: u64,
+        me: NodeId,
+        names: Vec<String>,
+        zones: Vec<String>,
+        record: Witnesses,
+        stamp: u64,
+    ) -> Self {
         Ledgers {
             term,
+            me,
+            readers: vec![Reader::default(); names.len()],
+            names,
+            zones,
             // The empty books are a page, too.
             seq: 1,
             log: VecDeque::new(),
             forgotten: 1,
-            readers: vec![Reader::default(); nodes],
             record,
             stamp,
             pending: Vec::new(),
@@ -254,17 +270,24 @@
         self.record.term == self.term
     }
 
+    /// A witness by its node, as far as its name is known.
+    fn node(&self, (name, incarnation): &(String, u64)) -> Option<(NodeId, u64)> {
+        self.names.iter().position(|n| n == name).map(|i| (NodeId(i as u8), *incarnation))
+    }
+
+    /// What is known of this very process as a reader.
+    fn reader(&self, (n, incarnation): (NodeId, u64)) -> Option<&Reader> {
+        self.readers.get(n.0 as usize).filter(|r| r.incarnation == incarnation)
+    }
+
     /// Up to which change all witnesses have taken the books, those included
     /// that a record under way may name. `None` before the first record.
-    pub fn covered(&self, names: &[String]) -> Option<u64> {
+    pub fn covered(&self) -> Option<u64> {
         if !self.settled() {
             return None;
         }
         let all = self.pending.iter().chain([&self.record]).flat_map(|w| w.nodes.iter());
-        let acked = all.map(|(name, incarnation)| {
-            let reader = names.iter().position(|n| n == name).and_then(|i| self.readers.get(i));
-            reader.filter(|r| r.incarnation == *incarnation).map_or(0, |r| r.acked)
-        });
+        let acked = all.map(|w| self.node(w).and_then(|n| self.reader(n)).map_or(0, |r| r.acked));
         Some(acked.min().unwrap_or(u64::MAX))
     }
 
@@ -281,17 +304,16 @@
 
     /// Who should be a witness: of those at hand, of as many zones as there
     /// are, other zones than the leader's first.
-    fn chosen(&self, me: NodeId, zones: &[String], at_hand: &[(NodeId, u64)]) -> Vec<(NodeId, u64)> {
+    fn chosen(&self, at_hand: &[(NodeId, u64)]) -> Vec<(NodeId, u64)> {
         let mut chosen: Vec<(NodeId, u64)> = Vec::new();
-        let zone = |n: NodeId| zones.get(n.0 as usize).map_or("", |z| z.as_str());
+        let zone = |n: NodeId| self.zones.get(n.0 as usize).map_or("", |z| z.as_str());
         while chosen.len() < MOST {
-            let left = at_hand.iter().filter(|(n, _)| *n != me && !chosen.iter().any(|(c, _)| c == n));
+            let left = at_hand.iter().filter(|(n, _)| *n != self.me && !chosen.iter().any(|(c, _)| c == n));
             let next = left.min_by_key(|(n, inc)| {
                 let crowd = chosen.iter().filter(|(c, _)| zone(*c) == zone(*n)).count();
-                let mine = zone(*n) == zone(me);
+                let mine = zone(*n) == zone(self.me);
                 // Who has the books already stays before who would need them.
-                let new =
-                    !self.readers.get(n.0 as usize).is_some_and(|r| r.incarnation == *inc && r.acked > 0);
+                let new = self.reader((*n, *inc)).is_none_or(|r| r.acked == 0);
                 (crowd + mine as usize, new, *n)
             });
             match next {
@@ -303,21 +325,15 @@
     }
 
     /// Pages that are due, by receiver: (whom, since which change).
-    pub fn due(
-        &mut self,
-        me: NodeId,
-        names: &[String],
-        zones: &[String],
-        at_hand: &[(NodeId, u64)],
-        now: Micros,
-    ) -> Vec<(NodeId, u64)> {
+    pub fn due(&mut self, at_hand: &[(NodeId, u64)], now: Micros) -> Vec<(NodeId, u64)> {
         let mut due = Vec::new();
-        let mut readers = self.chosen(me, zones, at_hand);
+        let mut readers = self.chosen(at_hand);
         // Whoever may be on record is waited for.
         let on_record = self.pending.iter().chain([&self.record]).filter(|w| w.term == self.term);
-        for (name, incarnation) in on_record.flat_map(|w| w.nodes.iter()) {
-            let node = names.iter().position(|n| n == name).map(|i| (NodeId(i as u8), *incarnation));
-            readers.extend(node.filter(|n| at_hand.contains(n) && !readers.contains(n)));
+        for node in on_record.flat_map(|w| w.nodes.iter()).filter_map(|w| self.node(w)) {
+            if at_hand.contains(&node) && !readers.contains(&node) {
+                readers.push(node);
+            }
         }
         for (n, incarnation) in readers {
             let Some(r) = self.readers.get_mut(n.0 as usize) else { continue };
@@ -354,9 +370,6 @@
     /// A record that should be written now, over the version that is known.
     pub fn wanted(
         &mut self,
-        me: NodeId,
-        names: &[String],
-        zones: &[String],
         at_hand: &[(NodeId, u64)],
         began: Micros,
         now: Micros,
@@ -364,29 +377,26 @@
         if self.writing || now.since(self.write_at) < Micros::millis(150) {
             return None;
         }
-        let sound = |(n, incarnation): &(NodeId, u64)| {
-            self.readers.get(n.0 as usize).is_some_and(|r| {
+        let sound = |n: &(NodeId, u64)| {
+            self.reader(*n).is_some_and(|r| {
                 let owes = r.owes.is_some_and(|t| now.since(t) > OVERDUE);
-                r.incarnation == *incarnation && r.acked >= self.released && !owes
+                r.acked >= self.released && !owes
             })
         };
-        let chosen = self.chosen(me, zones, at_hand);
+        let chosen = self.chosen(at_hand);
         let good: Vec<(NodeId, u64)> = chosen.iter().filter(|n| sound(n)).copied().collect();
         // The first record waits a moment for those who are taking the books.
         if !self.settled() && good.len() < chosen.len() && now.since(began) < Micros::millis(400) {
             return None;
         }
-        let name = |(n, inc): &(NodeId, u64)| Some((names.get(n.0 as usize)?.clone(), *inc));
+        let name = |(n, inc): &(NodeId, u64)| Some((self.names.get(n.0 as usize)?.clone(), *inc));
         let mut nodes: Vec<(String, u64)> = good.iter().filter_map(name).collect();
         nodes.sort();
         let want = Witnesses { term: self.term, led: self.term, nodes };
         // Others that are as good are not worth a record: a witness is struck
         // off when it fails, and added when there are too few.
         let keeps = self.settled() && {
-            let holds = |w: &(String, u64)| {
-                let at = names.iter().position(|n| *n == w.0).map(|i| (NodeId(i as u8), w.1));
-                at.is_some_and(|n| at_hand.contains(&n) && sound(&n))
-            };
+            let holds = |w: &(String, u64)| self.node(w).is_some_and(|n| at_hand.contains(&n) && sound(&n));
             self.record.nodes.iter().all(holds) && self.record.nodes.len() >= want.nodes.len()
         };
         if keeps && self.pending.is_empty() {
@@ -464,16 +474,23 @@
         let names: Vec<String> = ["n0", "n1", "n2"].map(String::from).to_vec();
         let zones: Vec<String> = ["a", "a", "b"].map(String::from).to_vec();
         let (me, n1, n2) = (NodeId(0), (NodeId(1), 7), (NodeId(2), 8));
-        let mut l = Ledgers::new(4, 3, Witnesses { term: 3, led: 4, nodes: vec![("n1".into(), 7)] }, 50);
+        let mut l = Ledgers::new(
+            4,
+            me,
+            names,
+            zones,
+            Witnesses { term: 3, led: 4, nodes: vec![("n1".into(), 7)] },
+            50,
+        );
         let mut now = Micros::secs(10);
         let began = now;
-        let covered = |l: &Ledgers| l.covered(&names);
+        let covered = |l: &Ledgers| l.covered();
         // Nobody holds this term's books, whoever held the last one's.
         assert_eq!(covered(&l), None);
-        assert_eq!(l.due(me, &names, &zones, &[n1, n2], now), [(n2.0, 0), (n1.0, 0)]);
+        assert_eq!(l.due(&[n1, n2], now), [(n2.0, 0), (n1.0, 0)]);
         l.taken(n1.0, 7, 1, now);
         l.taken(n2.0, 8, 1, now);
-        let (both, stamp) = l.wanted(me, &names, &zones, &[n1, n2], began, now).unwrap();
+        let (both, stamp) = l.wanted(&[n1, n2], began, now).unwrap();
         assert_eq!((both.nodes.len(), stamp), (2, 50));
         assert_eq!(covered(&l), None);
         l.write_ended();
@@ -481,7 +498,7 @@
         assert_eq!(covered(&l), Some(1));
         let seq = l.hand_out(task(1));
         now = now + Micros::millis(20);
-        assert_eq!(l.due(me, &names, &zones, &[n1, n2], now).len(), 2);
+        assert_eq!(l.due(&[n1, n2], now).len(), 2);
         l.taken(n1.0, 7, seq, now);
         // One has it, the other not; another process of it has nothing.
         assert_eq!(covered(&l), Some(1));
@@ -489,7 +506,7 @@
         assert_eq!(covered(&l), Some(1));
         // It stays silent: struck off, but only when that is on record.
         now = now + OVERDUE + Micros::millis(50);
-        let (one, _) = l.wanted(me, &names, &zones, &[n1, n2], began, now).unwrap();
+        let (one, _) = l.wanted(&[n1, n2], began, now).unwrap();
         assert_eq!(one.nodes, [("n1".to_owned(), 7)]);
         l.write_ended();
         assert_eq!(covered(&l), Some(1), "the write may not have come");
@@ -500,7 +517,7 @@
         // Added again: its word counts from when the record may name it.
         l.taken(n2.0, 8, seq, now);
         l.note(task(2));
-        let (again, _) = l.wanted(me, &names, &zones, &[n1, n2], began, now + Micros::secs(1)).unwrap();
+        let (again, _) = l.wanted(&[n1, n2], began, now + Micros::secs(1)).unwrap();
         assert_eq!(again.nodes.len(), 2);
         l.taken(n1.0, 7, seq + 1, now);
         assert_eq!(covered(&l), Some(seq));
@@ -513,20 +530,20 @@
         let names: Vec<String> = ["n0", "n1"].map(String::from).to_vec();
         let zones: Vec<String> = ["a", "b"].map(String::from).to_vec();
         let (me, n1, began) = (NodeId(0), (NodeId(1), 7), Micros::secs(10));
-        let mut l = Ledgers::new(4, 2, Witnesses::default(), 50);
-        l.due(me, &names, &zones, &[n1], began);
+        let mut l = Ledgers::new(4, me, names, zones, Witnesses::default(), 50);
+        l.due(&[n1], began);
         l.taken(n1.0, 7, 1, began);
         let none = Witnesses { term: 4, led: 4, nodes: Vec::new() };
         l.recorded(&none, 60);
         let at = l.hand_out(task(1));
-        assert!(l.covered(&names).unwrap() >= at, "nobody is waited for");
+        assert!(l.covered().unwrap() >= at, "nobody is waited for");
         l.release(at);
         let soon = began + Micros::millis(100);
-        assert!(l.wanted(me, &names, &zones, &[n1], began, soon).is_none_or(|(w, _)| w.nodes.is_empty()));
+        assert!(l.wanted(&[n1], began, soon).is_none_or(|(w, _)| w.nodes.is_empty()));
         l.write_ended();
-        l.due(me, &names, &zones, &[n1], soon);
+        l.due(&[n1], soon);
         l.taken(n1.0, 7, at, soon);
         let later = soon + Micros::secs(1);
-        assert_eq!(l.wanted(me, &names, &zones, &[n1], began, later).unwrap().0.nodes.len(), 1);
+        assert_eq!(l.wanted(&[n1], began, later).unwrap().0.nodes.len(), 1);
     }
 }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -353,6 +353,11 @@
     pub fn failed(id: JobId, chunk: u32) -> String {
         format!("g/r/{id}/{chunk}")
     }
+    /// Job and chunk of a key of progress or failures, without its space.
+    pub fn of_chunk(name: &str) -> Option<(JobId, u32)> {
+        let (id, chunk) = name.split_once('/')?;
+        Some((JobId::parse(id)?, chunk.parse().ok()?))
+    }
     /// The mailbox of one node for another, used when no way between them is left.
     pub fn mail(to: &str, from: &str) -> String {
         format!("g/c/{to}/{from}")
@@ -489,10 +494,7 @@
                 Change::Job(id)
             }
             "p" => {
-                let Some((id, chunk)) = name.split_once('/') else { return Change::Other };
-                let (Some(id), Ok(chunk)) = (JobId::parse(id), chunk.parse::<u32>()) else {
-                    return Change::Other;
-                };
+                let Some((id, chunk)) = keys::of_chunk(name) else { return Change::Other };
                 if let (Some(v), Some(job)) = (value, self.jobs.get_mut(&id))
                     && job.phase == Phase::Active
                     && chunk < u32::MAX / CHUNK
@@ -503,10 +505,7 @@
                 Change::Job(id)
             }
             "r" => {
-                let Some((id, chunk)) = name.split_once('/') else { return Change::Other };
-                let (Some(id), Ok(chunk)) = (JobId::parse(id), chunk.parse::<u32>()) else {
-                    return Change::Other;
-                };
+                let Some((id, chunk)) = keys::of_chunk(name) else { return Change::Other };
                 if let (Some(v), Some(job)) = (value, self.jobs.get_mut(&id))
                     && job.phase == Phase::Active
                     && let Ok(failed) = BTreeMap::<u32, Failures>::deserialize(v)
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -14,7 +14,7 @@
     pub(super) fn books_messages(&mut self, now: Micros) -> Vec<(NodeId, Message)> {
         if std::mem::take(&mut self.books.moved) {
             // What was held back for a witness may go now.
-            let covered = self.books.covered(&self.ctx.names).unwrap_or(0);
+            let covered = self.books.covered().unwrap_or(0);
             for (n, _, at) in self.handouts.values() {
                 if *at <= covered
                     && let Some(n) = self.nodes.get_mut(n.0 as usize)
@@ -24,7 +24,7 @@
             }
         }
         let at_hand = self.at_hand(now);
-        let due = self.books.due(self.ctx.me, &self.ctx.names, &self.ctx.zones, &at_hand, now);
+        let due = self.books.due(&at_hand, now);
         due.into_iter().map(|(n, base)| (n, Message::Books(self.page(base)))).collect()
     }
 
@@ -34,7 +34,7 @@
             let b = self.jobs.get(&task.job)?.bound.get(&task.index)?;
             let handed = b.handed.as_ref().map(|h| {
                 let spec = &self.jobs[&task.job].spec;
-                (h.hint.clone(), (spec.spread || spec.one_zone).then(|| h.zone.clone()))
+                (h.hint.clone(), spec.has_zone_rule().then(|| h.zone.clone()))
             });
             Some(Entry { attempt: b.attempt, on: b.on.iter().cloned().collect(), handed })
         };
@@ -65,8 +65,7 @@
             return None;
         }
         let at_hand = self.at_hand(now);
-        let (me, names, zones) = (self.ctx.me, &self.ctx.names, &self.ctx.zones);
-        self.books.wanted(me, names, zones, &at_hand, self.began, now)
+        self.books.wanted(&at_hand, self.began, now)
     }
 
     /// The write of such a record ended, one way or another.
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -420,10 +420,9 @@
         if self.health.any_closed() {
             let (closed, open): (Vec<Offer>, Vec<Offer>) =
                 offers.iter().cloned().partition(|o| self.health.is_closed(&o.zone));
-            let mut left: BTreeMap<String, u32> = closed
-                .iter()
-                .filter_map(|o| Some((o.zone.clone(), self.probes_left(&o.zone, now)?)))
-                .collect();
+            let zones: BTreeSet<&String> = closed.iter().map(|o| &o.zone).collect();
+            let mut left: BTreeMap<String, u32> =
+                zones.into_iter().filter_map(|z| Some((z.clone(), self.probes_left(z, now)?))).collect();
             if left.values().any(|n| *n > 0) {
                 for (w, n) in fleet::plan(rooms.clone(), &demands, &offers, &policy) {
                     let Some(left) = left.get_mut(&w.zone).filter(|l| **l > 0) else { continue };
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -533,9 +533,10 @@
         now: Micros,
         wall_ms: u64,
     ) -> Self {
-        let zones = ctx.zones.len();
-        let nodes = vec![Node::default(); zones];
+        let nodes = vec![Node::default(); ctx.zones.len()];
         let lag = ctx.list_lag;
+        let (record, stamp_of) = ledger.books.clone();
+        let books = Ledgers::new(term, ctx.me, ctx.names.clone(), ctx.zones.clone(), record, stamp_of);
         let mut l = Leader {
             term,
             ctx,
@@ -553,7 +554,7 @@
             jobs: BTreeMap::new(),
             aborted: BTreeMap::new(),
             handouts: BTreeMap::new(),
-            books: Ledgers::new(term, zones, ledger.books.0.clone(), ledger.books.1),
+            books,
             wants_books: ledger.books.0.term > 0 && !ledger.books.0.nodes.is_empty(),
             held: BTreeSet::new(),
             handed: BTreeSet::new(),
@@ -774,7 +775,7 @@
         let held = |id: &MachineId| self.machines.get(id).is_some_and(|m| m.holder == Some(to));
         // Without a confirmed lease nothing is handed out or renewed.
         // Nor is anything that a witness may not know of.
-        let covered = self.books.covered(&self.ctx.names).unwrap_or(0);
+        let covered = self.books.covered().unwrap_or(0);
         let open = self.handouts.values().filter(|(x, _, at)| *x == to && lease_ok && *at <= covered);
         let open: Vec<(HandOut, u64)> = open.map(|(_, h, at)| (h.clone(), *at)).collect();
         if let Some(at) = open.iter().map(|(_, at)| *at).max() {
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -112,6 +112,10 @@
         let here: i64 = self.prefer.iter().filter(|p| p.build == build && p.zone == zone).map(weight).sum();
         (1_000_000 - here.clamp(-1_000_000, 1_000_000)) as u64
     }
+    /// Whether it matters to the job's other tasks in which zone one is.
+    pub fn has_zone_rule(&self) -> bool {
+        self.spread || self.one_zone
+    }
     /// Most tasks that may be in one zone.
     pub fn zone_cap(&self) -> u32 {
         if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
