Stand-ins: controllers get sockets that are bound already

Cause: a run of the tests ended with 'not ready' in queries_wait_and_streams_tell. The site looked for free ports, let them go and had each controller bind them later; with six sites in one process and ports from the range of outgoing connections, another socket could have taken one by then. That this was it is inferred: the controller's own error isn't in the output.

Change: gorseshore_shell::run_on takes bound sockets; the site binds them itself and hands them on. Where a program of its own is started, the address comes from below the outgoing range and is given once.

--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -14,10 +14,10 @@
 use gorseshore_settings::{Operator, Platform};
 use log::{error, info};
 use smol::channel::{Receiver, Sender, bounded};
-use smol::{LocalExecutor, Timer};
+use smol::{Async, LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -150,8 +150,33 @@
     pub listen: SocketAddr,
 }
 
-/// Runs the service until the process is killed.
+/// The sockets that a controller listens on, bound.
+pub struct Sockets {
+    /// Users and workers.
+    pub public: TcpListener,
+    /// The other controllers.
+    pub cluster: TcpListener,
+    /// The guest's interface.
+    pub guest: Option<TcpListener>,
+}
+
+/// Binds the settings' addresses and runs the service until the process is killed.
 pub fn run(platform: Platform, operator: Operator, guest: Option<GuestDoor>) -> std::io::Result<()> {
+    let sockets = Sockets {
+        public: TcpListener::bind(&platform.public_addr)?,
+        cluster: TcpListener::bind(&platform.cluster_listen)?,
+        guest: guest.as_ref().map(|g| TcpListener::bind(g.listen)).transpose()?,
+    };
+    run_on(sockets, platform, operator, guest.map(|g| g.guest))
+}
+
+/// Runs the service on sockets that are bound already.
+pub fn run_on(
+    bound: Sockets,
+    platform: Platform,
+    operator: Operator,
+    guest: Option<Box<dyn Guest>>,
+) -> std::io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let ex = executor.clone();
     smol::block_on(ex.run(async move {
@@ -162,10 +187,8 @@
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let incarnation = (wall << 8) | (seed & 0xff);
         let mut node = Node::new(&platform, operator, seed, incarnation, Micros(1_000_000));
-        let mut guest_listen = None;
-        if let Some(GuestDoor { guest, listen }) = guest {
+        if let Some(guest) = guest {
             node = node.with_guest(guest);
-            guest_listen = Some(listen);
         }
         let sockets = platform.deployment.machine_limits.sockets;
         let mut receivers = Vec::new();
@@ -194,18 +217,18 @@
             let node = NodeId(nodes.names.iter().position(|n| *n == name).unwrap_or(0) as u8);
             executor.spawn(peers::dial(shell.clone(), node, addr, rx)).detach();
         }
-        let cluster = smol::net::TcpListener::bind(&platform.cluster_listen).await?;
-        let public = smol::net::TcpListener::bind(&platform.public_addr).await?;
+        let door = |l: TcpListener| Async::new(l).map(smol::net::TcpListener::from);
+        let (cluster, public) = (door(bound.cluster)?, door(bound.public)?);
         info!("{} listens on {} and {}", platform.host_name, platform.public_addr, platform.cluster_listen);
         executor.spawn(peers::listen(shell.clone(), cluster, executor.clone(), nodes.names.len())).detach();
         // The guest's connections are kept below the users'.
-        let most = if guest_listen.is_some() { sockets / 2 } else { sockets * 7 / 10 };
+        let most = if bound.guest.is_some() { sockets / 2 } else { sockets * 7 / 10 };
         executor
             .spawn(server::listen(shell.clone(), public, executor.clone(), server::Door::Users, most))
             .detach();
-        if let Some(listen) = guest_listen {
-            let door = smol::net::TcpListener::bind(listen).await?;
-            info!("the guest's interface listens on {listen}");
+        if let Some(listener) = bound.guest {
+            info!("the guest's interface listens on {}", listener.local_addr()?);
+            let door = door(listener)?;
             let most = sockets / 5;
             executor
                 .spawn(server::listen(shell.clone(), door, executor.clone(), server::Door::Guest, most))
--- a/crates/standins/src/net.rs
+++ b/crates/standins/src/net.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 /// Answers a request: method, path with query, body; status and body.
@@ -115,7 +116,17 @@
     ask(addr, method, path, "", body, Duration::from_secs(10)).map(|t| (t.status, t.json()))
 }
 
-/// An address with a port that is free now.
+/// An address for a program of its own that is started later: free now, never
+/// given twice, and below the ports that systems use for outgoing connections,
+/// one of which took an address between its being found and its use.
 pub fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 16_000 + (std::process::id() % 500) as u16 * 32;
+    loop {
+        let port = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        match TcpListener::bind(("127.0.0.1", port)) {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {}
+            bound => return bound?.local_addr(),
+        }
+    }
 }
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -1,9 +1,10 @@
 //! A whole site on loopback in one process: state service, cloud and workers
 //! as stand-ins, and the real controllers in threads of their own. Nothing is
 //! kept when the process ends.
-use crate::net::{Handler, call, free_address, serve};
+use crate::net::{Handler, call, serve};
 use crate::state::{Outcome, State};
 use crate::worker::{Facts, Machine};
+use gorseshore_core::guest::Guest;
 use gorseshore_core::jobs::description;
 use gorseshore_nomad::service::Service;
 use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts, Rental, Rentals};
@@ -11,9 +12,9 @@
 use gorseshore_protocol::job::Kind;
 use gorseshore_protocol::workers::{CheckinAnswer, Direct};
 use gorseshore_settings::{Operator, Platform};
-use gorseshore_shell::GuestDoor;
+use gorseshore_shell::Sockets;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -137,13 +138,16 @@
         let cloud = cloud(&shared)?;
         let n = o.controllers;
         let mut operator = Operator::parse(&o.operator)?;
-        let (mut users, mut cluster, mut nomad) = (Vec::new(), Vec::new(), Vec::new());
-        for _ in 0..n {
-            users.push(free_address()?);
-            cluster.push(free_address()?);
-            nomad.push(free_address()?);
-        }
-        for i in 0..n {
+        // Bound here and handed on: a port that was only found free may be
+        // another's, or an outgoing connection's, before its controller starts.
+        let bind = || (0..n).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>();
+        let addresses =
+            |l: &[TcpListener]| l.iter().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>();
+        let (public, peers, guests) = (bind()?, bind()?, bind()?);
+        let (users, cluster, mut nomad) = (addresses(&public)?, addresses(&peers)?, addresses(&guests)?);
+        for (i, ((public, cluster_socket), guest_socket)) in
+            public.into_iter().zip(peers).zip(guests).enumerate()
+        {
             let mut text = format!(
                 "host_name = \"n{i}\"\ndomain = \"{}\"\npublic_addr = \"{}\"\ncluster_listen = \"{}\"\n",
                 ZONES[i % 2],
@@ -173,15 +177,17 @@
             let platform = Platform::parse(&text)?;
             let guest = operator.nomad.as_mut().map(|s| {
                 s.listen = Some(nomad[i]);
-                (s.clone(), nomad[i])
+                s.clone()
             });
             let operator = operator.clone();
             std::thread::spawn(move || {
-                let door = guest.map(|(settings, listen)| GuestDoor {
-                    guest: Box::new(Service::new(settings, fastrand::u64(..))),
-                    listen,
-                });
-                if let Err(e) = gorseshore_shell::run(platform, operator, door) {
+                let sockets = Sockets {
+                    public,
+                    cluster: cluster_socket,
+                    guest: guest.is_some().then_some(guest_socket),
+                };
+                let guest = guest.map(|s| Box::new(Service::new(s, fastrand::u64(..))) as Box<dyn Guest>);
+                if let Err(e) = gorseshore_shell::run_on(sockets, platform, operator, guest) {
                     log::error!("controller {i}: {e}");
                 }
             });
