--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -217,6 +217,11 @@
     pub running: BTreeMap<JobId, u32>,
 }
 
+/// A worker that was silent for so long is asked by its holder.
+pub const ASKED_AFTER: Micros = Micros::millis(2800);
+/// How long its answer is waited for.
+pub const ASK_TIMEOUT: Micros = Micros::millis(1500);
+
 /// How often all workers are looked at.
 const SWEEP: Micros = Micros::millis(200);
 
@@ -435,7 +440,7 @@
             }
             // A worker that waits for a controller that ended doesn't report for
             // seconds, though it is well: it is asked.
-            let quiet = w.heard.is_some_and(|t| now.since(t) > Micros::millis(2800));
+            let quiet = w.heard.is_some_and(|t| now.since(t) > ASKED_AFTER);
             if w.shift == 0 || quiet {
                 if w.announce || quiet {
                     let call = out.call(Call {
@@ -443,7 +448,7 @@
                         method: "GET",
                         path: "/status".into(),
                         body: Vec::new(),
-                        timeout: Micros::millis(1500),
+                        timeout: ASK_TIMEOUT,
                     });
                     calls.push((call, id.clone()));
                     if let Some(w) = self.workers.get_mut(&id) {
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -204,7 +204,12 @@
             let last = zone_latest.entry(&m.zone).or_default();
             *last = (*last).max(t);
         }
-        let overdue = self.ctx.report.scale(5, 4) + Micros::secs(1);
+        // By then it should have reported, or have answered its holder.
+        let overdue = (self.ctx.report.scale(5, 4) + Micros::secs(1)).min(ASKED_AFTER + ASK_TIMEOUT);
+        let heard_by = latest.iter().map(|((h, zone), (t, _))| (Some(*h), *zone, *t));
+        for (by, zone, at) in heard_by.chain(zone_latest.iter().map(|(z, t)| (None, *z, *t))) {
+            self.ways.heard(by, zone, at, overdue);
+        }
         for (id, m) in &self.machines {
             if m.stage != Stage::Up {
                 continue;
@@ -215,7 +220,11 @@
             let spoke = (contact + Micros::secs(3)) - limit;
             // A new holder gets its time too: a day lost a hundred machines in
             // the moment in which they were given to their zone's controller.
-            let base = m.heard.unwrap_or(m.since).max(self.began).max(spoke).max(m.moved_at);
+            // So does a way that has just opened, to its holder or to anybody.
+            let way = |by| self.ways.open_since(by, &m.zone);
+            let opened = m.holder.map_or(Micros(0), |h| way(Some(h))).max(way(None));
+            let last = m.heard.unwrap_or(m.since);
+            let base = last.max(self.began).max(spoke).max(m.moved_at).max(opened);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
             if silent > Micros::millis(3200) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -9,13 +9,15 @@
 mod schedule;
 #[cfg(test)]
 mod tests;
+pub mod ways;
 
 use crate::books::Ledgers;
-use crate::controller::Sizes;
+use crate::controller::{ASK_TIMEOUT, ASKED_AFTER, Sizes};
 use crate::fair_queue::FairQueue;
 use crate::fleet::{self, Demand, Offer, Policy, Room};
 use crate::jobs::{Failures, Job, Ledger, MachineRecord, Phase, TaskSet};
 use crate::leader::health::{Health, Sight, Turn};
+use crate::leader::ways::Ways;
 use crate::peer::{GrantedMachine, HandOut, MachineState, Message, Outcome, StopRequest, TaskState};
 use crate::placement::{self, Candidate};
 use gorseshore_protocol::cloud::{Flavor, Rental};
@@ -502,6 +504,8 @@
     refused: BTreeMap<(String, String, bool), Micros>,
     /// Zones, as far as they are heard.
     health: Health,
+    /// When the ways to the zones opened.
+    ways: Ways,
     /// Something changed: schedule.
     pub dirty: bool,
     fleet_at: Micros,
@@ -564,6 +568,7 @@
             hires: BTreeMap::new(),
             refused: BTreeMap::new(),
             health: Health::default(),
+            ways: Ways::default(),
             dirty: true,
             fleet_at: now,
             measured: now,
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -375,6 +375,34 @@
     }
 }
 
+/// The first machine that was heard after a cut was taken for proof that all
+/// others of its zone are dead: a fleet day lost 301 live ones in that moment.
+#[test]
+fn the_end_of_a_cut_dooms_nobody() {
+    // (who hears m1 once the cut is over, whether m0 is deleted then after 2 s, 4 s, 30 s)
+    for (hears, deleted) in [(A, [false, false, true]), (B, [false, false, true])] {
+        let mut b = Bench::new(2);
+        for id in ["m0", "m1"] {
+            b.leader.grant(&m(id), A, "test", b.now);
+            b.confirm(id, &[]);
+        }
+        b.leader.ctx.zones = vec!["west".into(), "west".into()];
+        let mut got = Vec::new();
+        for second in 1..=70 {
+            b.tick(1000);
+            let s = b.state("m1", b.token("m1"), &[]);
+            for n in [A, B] {
+                let states = if hears == n && second > 40 { vec![s.clone()] } else { Vec::new() };
+                b.sync(n, &states, &[]);
+            }
+            if [42, 44, 70].contains(&second) {
+                got.push(b.leader.machines[&m("m0")].stage == Stage::Deleting);
+            }
+        }
+        assert_eq!(got, deleted, "m1 is heard by {hears:?}");
+    }
+}
+
 /// A leader that takes over does not know what became of the tasks of a job
 /// that was cancelled before; a day lost fifty machines behind a cut to that.
 #[test]
--- /dev/null
+++ b/crates/core/src/leader/ways.rs
@@ -0,0 +1,35 @@
+//! When the way to a zone last opened, for each controller and for all of them
+//! together. A machine counts as silent from then on only: when a cut ends, the
+//! first machine that is heard says that the way is open again, and nothing yet
+//! about the others, whose reports and answers are still on theirs.
+use gorseshore_protocol::ids::{Micros, NodeId};
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Way {
+    since: Micros,
+    last: Micros,
+}
+
+/// Ways to zones as they were heard.
+#[derive(Debug, Default)]
+pub struct Ways {
+    ways: BTreeMap<(Option<NodeId>, String), Way>,
+}
+
+impl Ways {
+    /// A machine of the zone was heard at `at` by a controller, or by any of
+    /// them (`None`). After more than `gap` without a word the way opens anew.
+    pub fn heard(&mut self, by: Option<NodeId>, zone: &str, at: Micros, gap: Micros) {
+        let way = self.ways.entry((by, zone.to_owned())).or_default();
+        if at > way.last + gap {
+            way.since = at;
+        }
+        way.last = way.last.max(at);
+    }
+
+    /// Since when the way has been open; zero if nothing was heard on it.
+    pub fn open_since(&self, by: Option<NodeId>, zone: &str) -> Micros {
+        self.ways.get(&(by, zone.to_owned())).map_or(Micros(0), |w| w.since)
+    }
+}
