--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -25,6 +25,10 @@
 const REMEMBERED: usize = 20_000;
 /// A witness that owes an acknowledgement for so long is struck off.
 const OVERDUE: Micros = Micros::millis(700);
+/// When that would leave none, it stays on record for so long, unless its
+/// process ended: a leader that is cut off from all others gives up before, and
+/// the next one needs the books of the last moment.
+const LAST_LEAVES: Micros = Micros::secs(4);
 /// Unacknowledged changes are sent again after this.
 const AGAIN: Micros = Micros::millis(200);
 /// The same for the whole books.
@@ -186,6 +190,8 @@
     pending: Vec<Witnesses>,
     writing: bool,
     write_at: Micros,
+    /// Since when no witness on record is sound.
+    bare: Option<Micros>,
     /// The last change that a hand-out waits for.
     waited: u64,
     /// The last change that left with a hand-out: who lacks it, or anything
@@ -220,6 +226,7 @@
             pending: Vec::new(),
             writing: false,
             write_at: Micros(0),
+            bare: None,
             waited: 1,
             released: 1,
             moved: false,
@@ -368,9 +375,11 @@
     }
 
     /// A record that should be written now, over the version that is known.
+    /// `ended` are controllers whose hosts say that their process is gone.
     pub fn wanted(
         &mut self,
         at_hand: &[(NodeId, u64)],
+        ended: &[NodeId],
         began: Micros,
         now: Micros,
     ) -> Option<(Witnesses, u64)> {
@@ -400,8 +409,22 @@
             self.record.nodes.iter().all(holds) && self.record.nodes.len() >= want.nodes.len()
         };
         if keeps && self.pending.is_empty() {
+            self.bare = None;
             return None;
         }
+        let left = |w: &(String, u64)| {
+            self.node(w).is_some_and(|(n, inc)| {
+                let another = at_hand.iter().any(|(m, i)| *m == n && *i != inc);
+                !another && !ended.contains(&n)
+            })
+        };
+        if self.settled() && want.nodes.is_empty() && self.record.nodes.iter().any(left) {
+            if now.since(*self.bare.get_or_insert(now)) < LAST_LEAVES {
+                return None;
+            }
+        } else {
+            self.bare = None;
+        }
         if !self.pending.contains(&want) {
             self.pending.push(want.clone());
         }
@@ -490,7 +513,7 @@
         assert_eq!(l.due(&[n1, n2], now), [(n2.0, 0), (n1.0, 0)]);
         l.taken(n1.0, 7, 1, now);
         l.taken(n2.0, 8, 1, now);
-        let (both, stamp) = l.wanted(&[n1, n2], began, now).unwrap();
+        let (both, stamp) = l.wanted(&[n1, n2], &[], began, now).unwrap();
         assert_eq!((both.nodes.len(), stamp), (2, 50));
         assert_eq!(covered(&l), None);
         l.write_ended();
@@ -506,7 +529,7 @@
         assert_eq!(covered(&l), Some(1));
         // It stays silent: struck off, but only when that is on record.
         now = now + OVERDUE + Micros::millis(50);
-        let (one, _) = l.wanted(&[n1, n2], began, now).unwrap();
+        let (one, _) = l.wanted(&[n1, n2], &[], began, now).unwrap();
         assert_eq!(one.nodes, [("n1".to_owned(), 7)]);
         l.write_ended();
         assert_eq!(covered(&l), Some(1), "the write may not have come");
@@ -517,12 +540,49 @@
         // Added again: its word counts from when the record may name it.
         l.taken(n2.0, 8, seq, now);
         l.note(task(2));
-        let (again, _) = l.wanted(&[n1, n2], began, now + Micros::secs(1)).unwrap();
+        let (again, _) = l.wanted(&[n1, n2], &[], began, now + Micros::secs(1)).unwrap();
         assert_eq!(again.nodes.len(), 2);
         l.taken(n1.0, 7, seq + 1, now);
         assert_eq!(covered(&l), Some(seq));
     }
 
+    /// A leader that was cut off from all others struck its last witness off
+    /// within a second and gave up two later: its successor had no books, and
+    /// deleted 109 machines behind the cut for one cancelled job.
+    #[test]
+    fn the_last_witness_stays_until_it_is_known_to_have_ended() {
+        let n1 = NodeId(1);
+        // (who is at hand, who ended; whether it is struck off after 1 s, after 5 s)
+        type Case = (&'static [(NodeId, u64)], &'static [NodeId], [bool; 2]);
+        let cases: [Case; 4] = [
+            (&[], &[], [false, true]),
+            (&[(NodeId(1), 7)], &[], [false, true]),
+            (&[], &[NodeId(1)], [true, true]),
+            (&[(NodeId(1), 8)], &[], [true, true]),
+        ];
+        for (at_hand, ended, want) in cases {
+            let names: Vec<String> = ["n0", "n1"].map(String::from).to_vec();
+            let zones: Vec<String> = ["a", "b"].map(String::from).to_vec();
+            let began = Micros::secs(10);
+            let mut l = Ledgers::new(4, NodeId(0), names, zones, Witnesses::default(), 50);
+            l.due(&[(n1, 7)], began);
+            l.taken(n1, 7, 1, began);
+            l.recorded(&Witnesses { term: 4, led: 4, nodes: vec![("n1".into(), 7)] }, 60);
+            let at = l.hand_out(task(1));
+            l.due(&[(n1, 7)], began + Micros::millis(20));
+            let mut got = [false; 2];
+            for i in 5..110 {
+                let now = began + Micros::millis(i * 50);
+                let struck = l.wanted(at_hand, ended, began, now).is_some_and(|(w, _)| w.nodes.is_empty());
+                l.write_ended();
+                got[0] |= struck && i <= 20;
+                got[1] |= struck;
+            }
+            assert_eq!(got, want, "at hand {at_hand:?}, ended {ended:?}");
+            assert!(l.covered().is_some_and(|c| c < at), "nothing leaves before the record is seen");
+        }
+    }
+
     /// World seed 1145: a witness was struck off, hand-outs left without it,
     /// and it was put on record again with its old acknowledgement.
     #[test]
@@ -539,11 +599,11 @@
         assert!(l.covered().unwrap() >= at, "nobody is waited for");
         l.release(at);
         let soon = began + Micros::millis(100);
-        assert!(l.wanted(&[n1], began, soon).is_none_or(|(w, _)| w.nodes.is_empty()));
+        assert!(l.wanted(&[n1], &[], began, soon).is_none_or(|(w, _)| w.nodes.is_empty()));
         l.write_ended();
         l.due(&[n1], soon);
         l.taken(n1.0, 7, at, soon);
         let later = soon + Micros::secs(1);
-        assert_eq!(l.wanted(&[n1], began, later).unwrap().0.nodes.len(), 1);
+        assert_eq!(l.wanted(&[n1], &[], began, later).unwrap().0.nodes.len(), 1);
     }
 }
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -58,14 +58,20 @@
         self.books.moved
     }
 
-    /// The record of witnesses to write now, over which version.
-    pub fn books_record(&mut self, ledger: &Ledger, now: Micros) -> Option<(Witnesses, u64)> {
+    /// The record of witnesses to write now, over which version. `ended` are
+    /// controllers whose hosts say that their process is gone.
+    pub fn books_record(
+        &mut self,
+        ledger: &Ledger,
+        ended: &[NodeId],
+        now: Micros,
+    ) -> Option<(Witnesses, u64)> {
         self.books.recorded(&ledger.books.0, ledger.books.1);
         if !self.granted {
             return None;
         }
         let at_hand = self.at_hand(now);
-        self.books.wanted(&at_hand, self.began, now)
+        self.books.wanted(&at_hand, ended, self.began, now)
     }
 
     /// The write of such a record ended, one way or another.
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -314,7 +314,9 @@
     fn record_witnesses(&mut self) {
         let Role::Leader { stamp: mine, term, .. } = self.office.election.role else { return };
         let Some(l) = self.office.leader.as_mut() else { return };
-        let Some((record, stamp)) = l.books_record(&self.mirror.ledger, self.now) else { return };
+        let all = (0..self.company.peers.len()).map(|i| NodeId(i as u8));
+        let ended: Vec<NodeId> = all.filter(|n| self.company.refuses(*n, self.now)).collect();
+        let Some((record, stamp)) = l.books_record(&self.mirror.ledger, &ended, self.now) else { return };
         let names: Vec<&str> = record.nodes.iter().map(|(n, _)| n.as_str()).collect();
         debug!("witnesses of term {term}: {}", names.join(", "));
         self.office.bucket.force(self.now, 1.0);
