--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -71,6 +71,10 @@
 pub struct Policy {
     /// Array work that waits should be through in this time.
     pub drain_s: f64,
+    /// Spot machines have been refused everywhere for a while: work that would
+    /// wait for the next one gets ordinary ones, as far as it would not be
+    /// through in this time otherwise.
+    pub sold_out_s: Option<f64>,
     /// Array tasks on machines now.
     pub running_arrays: f64,
     /// Most machines to add.
@@ -115,6 +119,8 @@
         .map(|(s, n, ..)| *n as f64 * s.estimate_s.max(1.0))
         .sum();
     let mut slots = (work / policy.drain_s).ceil() - policy.running_arrays - placed_arrays;
+    let mut instead =
+        policy.sold_out_s.map_or(0.0, |s| (work / s).ceil() - policy.running_arrays - placed_arrays);
     for (spec, mut left, mut zones, starving) in unmet {
         if spec.kind == Kind::Array {
             if slots <= 0.0 && !starving {
@@ -127,6 +133,14 @@
         // waits for the next spot machine, or fills the room that replicas leave.
         let spot_only = spec.kind == Kind::Array
             && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
+        let spot_only = match spot_only && policy.sold_out_s.is_some() {
+            true if instead > 0.0 => {
+                left = left.min(instead.ceil() as u32);
+                instead -= left as f64;
+                false
+            }
+            _ => spot_only,
+        };
         left -= fill(&mut rooms, &zone_cpu, &spec, &mut zones, left);
         while left > 0 && added < policy.max_new {
             let best = offers
@@ -290,8 +304,13 @@
             (vec![demand("array", 1, 99.0, true, false)], 0.0, vec![]),
         ];
         for (i, (demands, running, wanted)) in cases.into_iter().enumerate() {
-            let policy =
-                Policy { drain_s: 30.0, running_arrays: running, max_new: 50, spare: BTreeMap::new() };
+            let policy = Policy {
+                drain_s: 30.0,
+                sold_out_s: None,
+                running_arrays: running,
+                max_new: 50,
+                spare: BTreeMap::new(),
+            };
             let got = plan(Vec::new(), &demands, &offers, &policy);
             assert_eq!(got.into_iter().collect::<Vec<_>>(), wanted, "case {i}");
         }
@@ -300,7 +319,13 @@
     #[test]
     fn a_job_that_nothing_there_fits_is_not_left_waiting() {
         let offers = [offer("small", "a", false, 4.0, 0.16)];
-        let policy = Policy { drain_s: 30.0, running_arrays: 100.0, max_new: 50, spare: BTreeMap::new() };
+        let policy = Policy {
+            drain_s: 30.0,
+            sold_out_s: None,
+            running_arrays: 100.0,
+            max_new: 50,
+            spare: BTreeMap::new(),
+        };
         for (starving, machines) in [(false, 0), (true, 1)] {
             let mut d = demand("array", 3, 4.0, false, false);
             d.starving = starving;
@@ -337,7 +362,7 @@
         ];
         for (rooms, target, want) in cases {
             let spare = BTreeMap::from([("a".to_owned(), target * 1000)]);
-            let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
+            let policy = Policy { drain_s: 30.0, sold_out_s: None, running_arrays: 0.0, max_new: 50, spare };
             let got = plan(rooms, &[], &offers, &policy);
             let got: Vec<(&str, u32)> = got.iter().map(|(w, n)| (w.build.as_str(), *n)).collect();
             assert_eq!(got, want, "{target}");
@@ -345,7 +370,7 @@
         // Nothing several times too big where the right size is refused.
         let refused = [Offer { refused: true, ..offers[0].clone() }, offers[1].clone()];
         let spare = BTreeMap::from([("a".to_owned(), 6000)]);
-        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
+        let policy = Policy { drain_s: 30.0, sold_out_s: None, running_arrays: 0.0, max_new: 50, spare };
         assert!(plan(Vec::new(), &[], &refused, &policy).is_empty());
     }
 
@@ -360,7 +385,13 @@
             free: o[0].size,
             lent: 0,
         };
-        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare: BTreeMap::new() };
+        let policy = Policy {
+            drain_s: 30.0,
+            sold_out_s: None,
+            running_arrays: 0.0,
+            max_new: 50,
+            spare: BTreeMap::new(),
+        };
         let d = [demand("array", 1, 4.0, true, false)];
         assert!(plan(vec![room], &d, &o, &policy).is_empty());
     }
