--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,6 +2,7 @@
 //! a network that loses, delays, repeats and holds back, and troubles. Every
 //! rule of the protocol is checked at each step.
 mod desk;
+mod fleet;
 mod nomad;
 
 use gorseshore_standins::{state, worker};
@@ -20,8 +21,6 @@
 
 const S: u64 = 1_000_000;
 const MS: u64 = 1_000;
-const LEASE: u64 = 12 * S;
-const CANCEL: u64 = 34 * S;
 /// Workers are looked at so often.
 const WORKERS_EVERY: u64 = 50 * MS;
 /// The time of day at which a world begins, in milliseconds.
@@ -32,8 +31,15 @@
 #[derive(Clone, Copy)]
 struct Size {
     nodes: usize,
-    /// Machines of each type, zone and kind that can be rented.
-    room: usize,
+    /// Machines of each zone and kind that can be rented: small ones, big ones.
+    room: [usize; 2],
+    /// Time between workers' reports, their lease, and how long a cancellation
+    /// may take.
+    report: u64,
+    lease: u64,
+    cancel: u64,
+    /// Requests a second that the state service takes.
+    requests: f64,
     /// Changes a second that the state service takes, in transactions and
     /// values of what length.
     changes: f64,
@@ -47,11 +53,17 @@
     ends: u64,
     /// Planners with Nomad jobs beside the users.
     planners: bool,
+    /// Troubles at set times, at fleet size, instead of any at any time.
+    fleet: bool,
 }
 
 const SMALL: Size = Size {
     nodes: 3,
-    room: 5,
+    room: [5, 5],
+    report: 2 * S,
+    lease: 12 * S,
+    cancel: 34 * S,
+    requests: 200.0,
     changes: 60.0,
     changes_at_once: 12,
     value_kb: 16.0,
@@ -60,6 +72,7 @@
     busy_until: 150 * S,
     ends: 300 * S,
     planners: false,
+    fleet: false,
 };
 /// The small world with planners, and values so short that their jobs take
 /// several parts.
@@ -69,7 +82,7 @@
 /// budget of changes.
 const GROWN: Size = Size {
     nodes: 7,
-    room: 60,
+    room: [60, 60],
     changes: 15.0,
     changes_at_once: 8,
     value_kb: 4.0,
@@ -77,7 +90,7 @@
     tasks: 60,
     busy_until: 80 * S,
     ends: 200 * S,
-    planners: false,
+    ..SMALL
 };
 
 /// Controllers are spread over the zones in turn.
@@ -101,11 +114,17 @@
         [deployment]\nzones = [\"east\", \"west\"]\n\
         [[deployment.teams]]\nname = \"free\"\n\
         [[deployment.teams]]\nname = \"tight\"\ncpus_max = 9.0\n\
-        [deployment.workers]\nreport_s = 2.0\nlease_s = 12.0\ncancel_s = 34.0\n\
         [deployment.cloud]\nrps = 8.0\nlist_lag_s = 5.0\n";
+    let s = |t: u64| t as f64 / S as f64;
+    text += &format!(
+        "[deployment.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ncancel_s = {:.1}\n",
+        s(size.report),
+        s(size.lease),
+        s(size.cancel)
+    );
     text += &format!(
-        "[deployment.state]\nrps = 200.0\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n",
-        size.changes, size.value_kb, size.changes_at_once
+        "[deployment.state]\nrps = {:.1}\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n",
+        size.requests, size.changes, size.value_kb, size.changes_at_once
     );
     Platform::parse(&text).unwrap()
 }
@@ -124,6 +143,10 @@
     build: Option<&'static str>,
     submitted: bool,
     accepted: bool,
+    /// When it was first sent, and when it was accepted.
+    asked_at: u64,
+    accepted_at: u64,
+    tries: usize,
     abort_asked: bool,
     aborted_at: Option<u64>,
     told_done: bool,
@@ -204,6 +227,7 @@
     paid_us: u64,
     quiet: bool,
     planners: nomad::Planners,
+    fleet: fleet::Seen,
 }
 
 impl World {
@@ -240,6 +264,7 @@
             paid_us: 0,
             quiet,
             planners: nomad::Planners::default(),
+            fleet: fleet::Seen::default(),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -413,11 +438,12 @@
                     .values()
                     .filter(|m| (&m.build, &m.zone, m.spot) == (&h.build, &h.yard, h.loaners))
                     .count();
-                let room = self.size.room.saturating_sub(there);
+                let room = self.size.room[(h.build == "big") as usize].saturating_sub(there);
                 if room == 0 {
                     return (503, br#"{"error":"no capacity"}"#.to_vec());
                 }
                 let n = room.min(h.number as usize);
+                self.fleet_rents(&h.yard, n);
                 let hosts: Vec<String> = (0..n).map(|_| self.rent(&h.build, &h.yard, h.loaners)).collect();
                 self.hires.insert(h.hire, hosts.clone());
                 (200, serde_json::to_vec(&Hosts { hosts }).unwrap())
@@ -425,6 +451,7 @@
             ("POST", "/rentals/delete") => {
                 let h: Hosts = serde_json::from_slice(body).unwrap();
                 for name in h.hosts {
+                    self.fleet_deletes(&name);
                     self.machines.remove(&name);
                 }
                 (200, b"{}".to_vec())
@@ -454,7 +481,7 @@
             })
             .collect();
         self.history.push((self.now, list));
-        if self.history.len() > 400 {
+        if self.history.len() > 60 {
             self.history.remove(0);
         }
     }
@@ -475,7 +502,7 @@
     }
 
     fn workers(&mut self) {
-        let nodes = self.size.nodes;
+        let Size { nodes, report, lease, .. } = self.size;
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
             let now = self.now;
@@ -488,7 +515,7 @@
             if now < m.hung_until {
                 continue;
             }
-            m.check_lease(now, LEASE);
+            m.check_lease(now, lease);
             let started = self.with_machine(&name, |m, f, now| m.advance(f, now)).unwrap_or_default();
             for piece in started {
                 self.check_start(&name, &piece);
@@ -505,7 +532,7 @@
             if m.open.is_none() && due && (now >= m.next_report || m.changed) {
                 m.changed = false;
                 m.last_sent = now;
-                m.next_report = now + self.rng.u64(1500 * MS..2500 * MS);
+                m.next_report = now + self.rng.u64(report * 3 / 4..report * 5 / 4);
                 let body = serde_json::to_vec(&m.report()).unwrap();
                 let to = m.report_to;
                 let key = self.next_request;
@@ -547,7 +574,7 @@
             return;
         }
         m.open = None;
-        m.check_lease(now, LEASE);
+        m.check_lease(now, self.size.lease);
         match status {
             200 => {
                 let a: CheckinAnswer = serde_json::from_slice(body).unwrap();
@@ -618,7 +645,7 @@
                 faults.push(("wrong_place", format!("{here} tasks of job {j} in {}", m.zone)));
             }
         }
-        if job.aborted_at.is_some_and(|t| self.now > t + CANCEL) {
+        if job.aborted_at.is_some_and(|t| self.now > t + self.size.cancel) {
             faults.push(("ran_cancelled", format!("{piece} starts on {at}")));
         }
         for (rule, what) in faults {
@@ -647,7 +674,7 @@
                 if job.team == "tight" {
                     tight += job.cpus;
                 }
-                if job.aborted_at.is_some_and(|at| self.now > at + CANCEL) {
+                if job.aborted_at.is_some_and(|at| self.now > at + self.size.cancel) {
                     faults.push(("ran_cancelled", format!("{} is on {name}", t.name)));
                 }
             }
@@ -682,7 +709,9 @@
             }
             Asker::Submit(j) => match status {
                 200 | 201 => {
-                    self.jobs[j].accepted = true;
+                    if !std::mem::replace(&mut self.jobs[j].accepted, true) {
+                        self.jobs[j].accepted_at = self.now;
+                    }
                     self.check_stage(j, &stage(&body).unwrap());
                 }
                 400 | 422 if self.jobs[j].accepted => {
@@ -744,19 +773,29 @@
         if self.size.planners {
             self.plan();
         }
-        if self.now < self.size.busy_until && (self.jobs.len() < self.size.jobs || self.rng.u32(0..12) == 0) {
-            self.new_job();
+        let (at_once, one_in) = if self.size.fleet { (20, 4) } else { (1, 12) };
+        let busy = self.now < self.size.busy_until;
+        if busy && (self.jobs.len() < self.size.jobs || self.rng.u32(0..one_in) == 0) {
+            let left = self.size.jobs.saturating_sub(self.jobs.len());
+            (0..at_once.min(left.max(1))).for_each(|_| self.new_job());
         }
         for j in 0..self.jobs.len() {
             if self.now < self.jobs[j].next_try {
                 continue;
             }
             self.jobs[j].next_try = self.now + self.rng.u64(2 * S..5 * S);
-            let n = self.rng.usize(0..self.size.nodes);
+            let mut n = self.rng.usize(0..self.size.nodes);
             let id = format!("j-{j:06}");
             let job = &mut self.jobs[j];
+            if self.size.fleet {
+                // Users turn to the next one when they get no answer.
+                job.tries += 1;
+                n = (j + job.tries) % self.size.nodes;
+            }
             if !job.accepted {
-                job.submitted = true;
+                if !std::mem::replace(&mut job.submitted, true) {
+                    job.asked_at = self.now;
+                }
                 let body = job.body.to_string().into_bytes();
                 self.request(n, "POST", "/submissions".into(), body, Asker::Submit(j));
             } else if self.now > job.abort_at && job.aborted_at.is_none() && !job.told_done {
@@ -788,6 +827,9 @@
     }
 
     fn new_job(&mut self) {
+        if self.size.fleet {
+            return self.fleet_job();
+        }
         let j = self.jobs.len();
         let r = &mut self.rng;
         let service = r.u32(0..3) == 0;
@@ -823,6 +865,9 @@
             build,
             submitted: false,
             accepted: false,
+            asked_at: 0,
+            accepted_at: 0,
+            tries: 0,
             abort_asked: false,
             aborted_at: None,
             told_done: false,
@@ -1014,6 +1059,7 @@
                 self.users();
                 self.at(300 * MS, Event::Users);
             }
+            Event::Trouble if self.size.fleet => self.fleet_trouble(),
             Event::Trouble => self.trouble(),
             Event::Heal => self.state.recover(now),
         }
@@ -1049,7 +1095,7 @@
             }
             Target::Cloud => Some(self.cloud(call.method, &call.path, &call.body)),
             Target::Worker(addr) => {
-                let addr = addr.clone();
+                let (addr, lease) = (addr.clone(), self.size.lease);
                 let hung = self.machines.get(&addr).map_or(0, |m| m.hung_until);
                 if hung > now {
                     // Executed when the machine goes on.
@@ -1057,7 +1103,7 @@
                     return;
                 }
                 let out = self.with_machine(&addr, |m, f, now| {
-                    m.check_lease(now, LEASE);
+                    m.check_lease(now, lease);
                     if call.path == "/status" {
                         return (200, serde_json::to_vec(&m.report()).unwrap());
                     }
--- a/tests/world/nomad.rs
+++ b/tests/world/nomad.rs
@@ -251,7 +251,7 @@
             let Some((job, (at, revision))) = self.planners.stopped.get_key_value(head.id.as_str()) else {
                 continue;
             };
-            if head.stop && stamp == *revision && here > 0 && self.now > at + CANCEL {
+            if head.stop && stamp == *revision && here > 0 && self.now > at + self.size.cancel {
                 faults.push(format!("{here} tasks of {job}, stopped {} s ago", (self.now - at) / S));
             }
         }
