--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -18,6 +18,8 @@
     pub size: Resources,
     /// Price an hour.
     pub price: f64,
+    /// What the same type costs as a spot machine.
+    pub spot_price: Option<f64>,
     /// It was refused just now.
     pub refused: bool,
     /// Usual boot time in seconds.
@@ -75,6 +77,8 @@
     /// wait for the next one gets ordinary ones, as far as it would not be
     /// through in this time otherwise.
     pub sold_out_s: Option<f64>,
+    /// Such an ordinary machine may cost so many times its spot price.
+    pub premium: f64,
     /// Array tasks on machines now.
     pub running_arrays: f64,
     /// Most machines to add.
@@ -133,20 +137,18 @@
         // waits for the next spot machine, or fills the room that replicas leave.
         let spot_only = spec.kind == Kind::Array
             && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
-        let spot_only = match spot_only && policy.sold_out_s.is_some() {
-            true if instead > 0.0 => {
-                left = left.min(instead.ceil() as u32);
-                instead -= left as f64;
-                false
-            }
-            _ => spot_only,
-        };
+        let in_place = spot_only && instead > 0.0;
+        if in_place {
+            left = left.min(instead.ceil() as u32);
+            instead -= left as f64;
+        }
+        let worth = |o: &Offer| in_place && o.spot_price.is_none_or(|p| o.price <= policy.premium * p);
         left -= fill(&mut rooms, &zone_cpu, &spec, &mut zones, left);
         while left > 0 && added < policy.max_new {
             let best = offers
                 .iter()
                 .filter(|o| !o.refused && spec.allows(&o.build, &o.zone, o.spot, &o.size))
-                .filter(|o| o.spot || !spot_only)
+                .filter(|o| o.spot || !spot_only || worth(o))
                 .filter(|o| zone_ok(&spec, &o.zone, &zones))
                 .map(|o| {
                     let k = o.size.count(&spec.need, 10_000).max(1);
@@ -260,7 +262,16 @@
 
     fn offer(build: &str, zone: &str, spot: bool, cpus: f64, price: f64) -> Offer {
         let size = Resources::have(cpus, 0.0, cpus * 4.0);
-        Offer { build: build.into(), zone: zone.into(), spot, size, price, refused: false, boot_s: 30.0 }
+        Offer {
+            build: build.into(),
+            zone: zone.into(),
+            spot,
+            size,
+            price,
+            spot_price: Some(1.0),
+            refused: false,
+            boot_s: 30.0,
+        }
     }
 
     fn demand(kind: &str, n: u32, cpus: f64, spot: bool, spread: bool) -> Demand {
@@ -272,6 +283,43 @@
         Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: BTreeMap::new() }
     }
 
+    /// Spot sold out: arrays waited minutes for the next spot machine while
+    /// ordinary ones were to be had; at four times the price they are not worth it.
+    #[test]
+    fn sold_out_spot_is_replaced_where_it_is_not_dear() {
+        let sold = |build: &str, cpus, price, spot_price| {
+            let o = offer(build, "a", false, cpus, price);
+            Offer { spot_price: Some(spot_price), ..o }
+        };
+        let mut spot = offer("mid", "a", true, 8.0, 0.1);
+        spot.refused = true;
+        let (dear, fair) = (sold("dear", 4.0, 0.16, 0.04), sold("mid", 8.0, 0.5, 0.2));
+        // (offers beside the refused one, sold out, tasks running, ordinary machines)
+        let cases: [(&[Offer], Option<f64>, f64, u32); 5] = [
+            (&[dear.clone(), fair.clone()], None, 0.0, 0),
+            (&[dear.clone(), fair.clone()], Some(40.0), 0.0, 15),
+            (&[dear.clone()], Some(40.0), 0.0, 0),
+            // What runs does 20 of the 30 tasks that have to go at a time.
+            (&[dear.clone(), fair.clone()], Some(40.0), 20.0, 5),
+            (&[dear, fair], Some(40.0), 99.0, 0),
+        ];
+        for (i, (others, sold_out_s, running_arrays, want)) in cases.into_iter().enumerate() {
+            let mut offers = others.to_vec();
+            offers.push(spot.clone());
+            let policy = Policy {
+                drain_s: 20.0,
+                sold_out_s,
+                premium: 3.0,
+                running_arrays,
+                max_new: 50,
+                spare: BTreeMap::new(),
+            };
+            // Each runs 30 s.
+            let got = plan(Vec::new(), &[demand("array", 40, 4.0, true, false)], &offers, &policy);
+            assert_eq!(got.values().sum::<u32>(), want, "case {i}: {got:?}");
+        }
+    }
+
     #[test]
     fn rents_the_cheapest_that_fits() {
         let offers = [
@@ -307,6 +355,7 @@
             let policy = Policy {
                 drain_s: 30.0,
                 sold_out_s: None,
+                premium: 3.0,
                 running_arrays: running,
                 max_new: 50,
                 spare: BTreeMap::new(),
@@ -322,6 +371,7 @@
         let policy = Policy {
             drain_s: 30.0,
             sold_out_s: None,
+            premium: 3.0,
             running_arrays: 100.0,
             max_new: 50,
             spare: BTreeMap::new(),
@@ -362,7 +412,14 @@
         ];
         for (rooms, target, want) in cases {
             let spare = BTreeMap::from([("a".to_owned(), target * 1000)]);
-            let policy = Policy { drain_s: 30.0, sold_out_s: None, running_arrays: 0.0, max_new: 50, spare };
+            let policy = Policy {
+                drain_s: 30.0,
+                sold_out_s: None,
+                premium: 3.0,
+                running_arrays: 0.0,
+                max_new: 50,
+                spare,
+            };
             let got = plan(rooms, &[], &offers, &policy);
             let got: Vec<(&str, u32)> = got.iter().map(|(w, n)| (w.build.as_str(), *n)).collect();
             assert_eq!(got, want, "{target}");
@@ -370,7 +427,8 @@
         // Nothing several times too big where the right size is refused.
         let refused = [Offer { refused: true, ..offers[0].clone() }, offers[1].clone()];
         let spare = BTreeMap::from([("a".to_owned(), 6000)]);
-        let policy = Policy { drain_s: 30.0, sold_out_s: None, running_arrays: 0.0, max_new: 50, spare };
+        let policy =
+            Policy { drain_s: 30.0, sold_out_s: None, premium: 3.0, running_arrays: 0.0, max_new: 50, spare };
         assert!(plan(Vec::new(), &[], &refused, &policy).is_empty());
     }
 
@@ -388,6 +446,7 @@
         let policy = Policy {
             drain_s: 30.0,
             sold_out_s: None,
+            premium: 3.0,
             running_arrays: 0.0,
             max_new: 50,
             spare: BTreeMap::new(),
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -346,6 +346,7 @@
                         spot,
                         size,
                         price,
+                        spot_price: f.spot_price,
                         refused,
                         boot_s: f.boot_s,
                     });
@@ -414,6 +415,7 @@
             spare: self.spare_targets(now),
             drain_s: 20.0,
             sold_out_s: self.sold_out(flavors, now).then_some(40.0),
+            premium: self.ctx.operator.spot_premium,
             running_arrays: running,
             max_new: self.ctx.operator.max_machines.saturating_sub(self.machines.len()).min(50),
         };
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -210,7 +210,7 @@
     }
 
     /// Array tasks that are on machines or on their way.
-    pub(super) fn array_slots(&self) -> u64 {
+    pub fn array_slots(&self) -> u64 {
         self.sums.arrays
     }
 
