Scale: what decisions cost at several sizes, with slopes

Need: the costs of a hand-out, a check-in and a rental decision, and of a new leader's start, were known for one size only.

Change: gorseshore-standins scale drives the leader, the controllers' own parts and stand-in workers in one thread, for lists of machines, controllers and past jobs, and prints the figures with their log-log slopes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -298,7 +298,7 @@
         let cases: [(&[Offer], Option<f64>, f64, u32); 5] = [
             (&[dear.clone(), fair.clone()], None, 0.0, 0),
             (&[dear.clone(), fair.clone()], Some(40.0), 0.0, 15),
-            (&[dear.clone()], Some(40.0), 0.0, 0),
+            (std::slice::from_ref(&dear), Some(40.0), 0.0, 0),
             // What runs does 20 of the 30 tasks that have to go at a time.
             (&[dear.clone(), fair.clone()], Some(40.0), 20.0, 5),
             (&[dear, fair], Some(40.0), 99.0, 0),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 pub mod measure;
 pub mod net;
+pub mod scale;
 pub mod site;
 pub mod state;
 pub mod worker;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! `gorseshore-standins site`: a whole site on loopback, to try things.
 use clap::{Args, Parser, Subcommand};
 use gorseshore_standins::measure::Load;
+use gorseshore_standins::scale::Sizing;
 use gorseshore_standins::site::{Options, Site};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,6 +21,39 @@
     Site(SiteArgs),
     /// Measure Nomad's interface against native submissions of the same work.
     MeasureNomad(MeasureArgs),
+    /// Measure what decisions cost at several sizes, with slopes.
+    Scale(ScaleArgs),
+}
+
+#[derive(Args)]
+struct ScaleArgs {
+    /// Numbers of machines.
+    #[arg(long, value_delimiter = ',', default_value = "300,1400,5000",
+        value_parser = clap::value_parser!(u32).range(100..=50_000))]
+    machines: Vec<u32>,
+    /// Numbers of controllers.
+    #[arg(long, value_delimiter = ',', default_value = "3,7,15",
+        value_parser = clap::value_parser!(u32).range(1..=15))]
+    controllers: Vec<u32>,
+    /// Numbers of past jobs.
+    #[arg(long, value_delimiter = ',', default_value = "1000,10000,100000",
+        value_parser = clap::value_parser!(u32).range(1..=2_000_000))]
+    past: Vec<u32>,
+}
+
+fn scale(a: &ScaleArgs) -> ExitCode {
+    let all = |v: &[u32]| v.iter().map(|n| *n as usize).collect();
+    let sizing = Sizing { machines: all(&a.machines), controllers: all(&a.controllers), past: all(&a.past) };
+    match gorseshore_standins::scale::run(&sizing) {
+        Ok(table) => {
+            print!("{table}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 #[derive(Args)]
@@ -70,6 +104,7 @@
     let args = match Cli::parse().verb {
         Verb::Site(args) => args,
         Verb::MeasureNomad(m) => return measure(&m),
+        Verb::Scale(a) => return scale(&a),
     };
     let operator = match &args.operator_config {
         None => String::new(),
