--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -294,14 +294,15 @@
         let mut spot = offer("mid", "a", true, 8.0, 0.1);
         spot.refused = true;
         let (dear, fair) = (sold("dear", 4.0, 0.16, 0.04), sold("mid", 8.0, 0.5, 0.2));
+        let (one, both) = ([dear.clone()], [dear, fair]);
         // (offers beside the refused one, sold out, tasks running, ordinary machines)
         let cases: [(&[Offer], Option<f64>, f64, u32); 5] = [
-            (&[dear.clone(), fair.clone()], None, 0.0, 0),
-            (&[dear.clone(), fair.clone()], Some(40.0), 0.0, 15),
-            (std::slice::from_ref(&dear), Some(40.0), 0.0, 0),
+            (&both, None, 0.0, 0),
+            (&both, Some(40.0), 0.0, 15),
+            (&one, Some(40.0), 0.0, 0),
             // What runs does 20 of the 30 tasks that have to go at a time.
-            (&[dear.clone(), fair.clone()], Some(40.0), 20.0, 5),
-            (&[dear, fair], Some(40.0), 99.0, 0),
+            (&both, Some(40.0), 20.0, 5),
+            (&both, Some(40.0), 99.0, 0),
         ];
         for (i, (others, sold_out_s, running_arrays, want)) in cases.into_iter().enumerate() {
             let mut offers = others.to_vec();
