--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -18,8 +18,6 @@
     pub size: Resources,
     /// Price an hour.
     pub price: f64,
-    /// What the same type costs as a spot machine.
-    pub spot_price: Option<f64>,
     /// It was refused just now.
     pub refused: bool,
     /// Usual boot time in seconds.
@@ -73,12 +71,6 @@
 pub struct Policy {
     /// Array work that waits should be through in this time.
     pub drain_s: f64,
-    /// Spot machines have been refused everywhere for a while: work that would
-    /// wait for the next one gets ordinary ones, as far as it would not be
-    /// through in this time otherwise.
-    pub sold_out_s: Option<f64>,
-    /// Such an ordinary machine may cost so many times its spot price.
-    pub premium: f64,
     /// Array tasks on machines now.
     pub running_arrays: f64,
     /// Most machines to add.
@@ -123,8 +115,6 @@
         .map(|(s, n, ..)| *n as f64 * s.estimate_s.max(1.0))
         .sum();
     let mut slots = (work / policy.drain_s).ceil() - policy.running_arrays - placed_arrays;
-    let mut instead =
-        policy.sold_out_s.map_or(0.0, |s| (work / s).ceil() - policy.running_arrays - placed_arrays);
     for (spec, mut left, mut zones, starving) in unmet {
         if spec.kind == Kind::Array {
             if slots <= 0.0 && !starving {
@@ -137,18 +127,12 @@
         // waits for the next spot machine, or fills the room that replicas leave.
         let spot_only = spec.kind == Kind::Array
             && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
-        let in_place = spot_only && instead > 0.0;
-        if in_place {
-            left = left.min(instead.ceil() as u32);
-            instead -= left as f64;
-        }
-        let worth = |o: &Offer| in_place && o.spot_price.is_none_or(|p| o.price <= policy.premium * p);
         left -= fill(&mut rooms, &zone_cpu, &spec, &mut zones, left);
         while left > 0 && added < policy.max_new {
             let best = offers
                 .iter()
                 .filter(|o| !o.refused && spec.allows(&o.build, &o.zone, o.spot, &o.size))
-                .filter(|o| o.spot || !spot_only || worth(o))
+                .filter(|o| o.spot || !spot_only)
                 .filter(|o| zone_ok(&spec, &o.zone, &zones))
                 .map(|o| {
                     let k = o.size.count(&spec.need, 10_000).max(1);
@@ -262,16 +246,7 @@
 
     fn offer(build: &str, zone: &str, spot: bool, cpus: f64, price: f64) -> Offer {
         let size = Resources::have(cpus, 0.0, cpus * 4.0);
-        Offer {
-            build: build.into(),
-            zone: zone.into(),
-            spot,
-            size,
-            price,
-            spot_price: Some(1.0),
-            refused: false,
-            boot_s: 30.0,
-        }
+        Offer { build: build.into(), zone: zone.into(), spot, size, price, refused: false, boot_s: 30.0 }
     }
 
     fn demand(kind: &str, n: u32, cpus: f64, spot: bool, spread: bool) -> Demand {
@@ -283,44 +258,6 @@
         Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: BTreeMap::new() }
     }
 
-    /// Spot sold out: arrays waited minutes for the next spot machine while
-    /// ordinary ones were to be had; at four times the price they are not worth it.
-    #[test]
-    fn sold_out_spot_is_replaced_where_it_is_not_dear() {
-        let sold = |build: &str, cpus, price, spot_price| {
-            let o = offer(build, "a", false, cpus, price);
-            Offer { spot_price: Some(spot_price), ..o }
-        };
-        let mut spot = offer("mid", "a", true, 8.0, 0.1);
-        spot.refused = true;
-        let (dear, fair) = (sold("dear", 4.0, 0.16, 0.04), sold("mid", 8.0, 0.5, 0.2));
-        let (one, both) = ([dear.clone()], [dear, fair]);
-        // (offers beside the refused one, sold out, tasks running, ordinary machines)
-        let cases: [(&[Offer], Option<f64>, f64, u32); 5] = [
-            (&both, None, 0.0, 0),
-            (&both, Some(40.0), 0.0, 15),
-            (&one, Some(40.0), 0.0, 0),
-            // What runs does 20 of the 30 tasks that have to go at a time.
-            (&both, Some(40.0), 20.0, 5),
-            (&both, Some(40.0), 99.0, 0),
-        ];
-        for (i, (others, sold_out_s, running_arrays, want)) in cases.into_iter().enumerate() {
-            let mut offers = others.to_vec();
-            offers.push(spot.clone());
-            let policy = Policy {
-                drain_s: 20.0,
-                sold_out_s,
-                premium: 3.0,
-                running_arrays,
-                max_new: 50,
-                spare: BTreeMap::new(),
-            };
-            // Each runs 30 s.
-            let got = plan(Vec::new(), &[demand("array", 40, 4.0, true, false)], &offers, &policy);
-            assert_eq!(got.values().sum::<u32>(), want, "case {i}: {got:?}");
-        }
-    }
-
     #[test]
     fn rents_the_cheapest_that_fits() {
         let offers = [
@@ -353,14 +290,8 @@
             (vec![demand("array", 1, 99.0, true, false)], 0.0, vec![]),
         ];
         for (i, (demands, running, wanted)) in cases.into_iter().enumerate() {
-            let policy = Policy {
-                drain_s: 30.0,
-                sold_out_s: None,
-                premium: 3.0,
-                running_arrays: running,
-                max_new: 50,
-                spare: BTreeMap::new(),
-            };
+            let policy =
+                Policy { drain_s: 30.0, running_arrays: running, max_new: 50, spare: BTreeMap::new() };
             let got = plan(Vec::new(), &demands, &offers, &policy);
             assert_eq!(got.into_iter().collect::<Vec<_>>(), wanted, "case {i}");
         }
@@ -369,14 +300,7 @@
     #[test]
     fn a_job_that_nothing_there_fits_is_not_left_waiting() {
         let offers = [offer("small", "a", false, 4.0, 0.16)];
-        let policy = Policy {
-            drain_s: 30.0,
-            sold_out_s: None,
-            premium: 3.0,
-            running_arrays: 100.0,
-            max_new: 50,
-            spare: BTreeMap::new(),
-        };
+        let policy = Policy { drain_s: 30.0, running_arrays: 100.0, max_new: 50, spare: BTreeMap::new() };
         for (starving, machines) in [(false, 0), (true, 1)] {
             let mut d = demand("array", 3, 4.0, false, false);
             d.starving = starving;
@@ -413,14 +337,7 @@
         ];
         for (rooms, target, want) in cases {
             let spare = BTreeMap::from([("a".to_owned(), target * 1000)]);
-            let policy = Policy {
-                drain_s: 30.0,
-                sold_out_s: None,
-                premium: 3.0,
-                running_arrays: 0.0,
-                max_new: 50,
-                spare,
-            };
+            let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
             let got = plan(rooms, &[], &offers, &policy);
             let got: Vec<(&str, u32)> = got.iter().map(|(w, n)| (w.build.as_str(), *n)).collect();
             assert_eq!(got, want, "{target}");
@@ -428,8 +345,7 @@
         // Nothing several times too big where the right size is refused.
         let refused = [Offer { refused: true, ..offers[0].clone() }, offers[1].clone()];
         let spare = BTreeMap::from([("a".to_owned(), 6000)]);
-        let policy =
-            Policy { drain_s: 30.0, sold_out_s: None, premium: 3.0, running_arrays: 0.0, max_new: 50, spare };
+        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
         assert!(plan(Vec::new(), &[], &refused, &policy).is_empty());
     }
 
@@ -444,14 +360,7 @@
             free: o[0].size,
             lent: 0,
         };
-        let policy = Policy {
-            drain_s: 30.0,
-            sold_out_s: None,
-            premium: 3.0,
-            running_arrays: 0.0,
-            max_new: 50,
-            spare: BTreeMap::new(),
-        };
+        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare: BTreeMap::new() };
         let d = [demand("array", 1, 4.0, true, false)];
         assert!(plan(vec![room], &d, &o, &policy).is_empty());
     }
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -1,10 +1,6 @@
 //! Machines: what is asked of the cloud.
 use super::*;
 
-/// Spot machines may be refused everywhere for so long before work that could
-/// run on them gets ordinary ones.
-const SOLD_OUT_FOR: Micros = Micros::secs(4);
-
 impl Leader {
     /// Decides what to rent and return; what to ask the cloud now.
     pub fn fleet(&mut self, flavors: &[Flavor], now: Micros) -> Vec<CloudWish> {
@@ -108,8 +104,6 @@
         self.hires.remove(&req.name);
         if hosts.len() < req.count as usize {
             self.refused.insert((req.build.clone(), req.zone.clone(), req.spot), now);
-        } else {
-            self.refused.remove(&(req.build.clone(), req.zone.clone(), req.spot));
         }
         info!(
             "rented {} of {} {} in {}{}",
@@ -346,7 +340,6 @@
                         spot,
                         size,
                         price,
-                        spot_price: f.spot_price,
                         refused,
                         boot_s: f.boot_s,
                     });
@@ -414,8 +407,6 @@
         let policy = Policy {
             spare: self.spare_targets(now),
             drain_s: 20.0,
-            sold_out_s: self.sold_out(flavors, now).then_some(40.0),
-            premium: self.ctx.operator.spot_premium,
             running_arrays: running,
             max_new: self.ctx.operator.max_machines.saturating_sub(self.machines.len()).min(50),
         };
@@ -457,19 +448,6 @@
         }
     }
 
-    /// Whether every kind of spot machine has been refused for a while.
-    fn sold_out(&mut self, flavors: &[Flavor], now: Micros) -> bool {
-        let spot = flavors.iter().filter(|f| f.spot_price.is_some());
-        let mut kinds = spot.flat_map(|f| f.yards.iter().map(|z| (f.sku.clone(), z.clone(), true)));
-        // A refused kind is asked for again after 8 s, as long as work waits.
-        let lately = |t: &Micros| now.since(*t) < Micros::secs(20);
-        if !kinds.all(|k| self.health.is_closed(&k.1) || self.refused.get(&k).is_some_and(lately)) {
-            self.sold_out_since = None;
-            return false;
-        }
-        now.since(*self.sold_out_since.get_or_insert(now)) >= SOLD_OUT_FOR
-    }
-
     /// Tasks of an array whose ends will be heard: where nothing is heard,
     /// nothing ends.
     fn ends_soon(&self, r: &Run) -> usize {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -502,8 +502,6 @@
     stops: BTreeMap<(TaskId, Attempt), (StopRequest, Micros)>,
     hires: BTreeMap<String, (HireRequest, HireStage, Micros)>,
     refused: BTreeMap<(String, String, bool), Micros>,
-    /// Since when every kind of spot machine is refused.
-    sold_out_since: Option<Micros>,
     /// Zones, as far as they are heard.
     health: Health,
     /// When the ways to the zones opened.
@@ -569,7 +567,6 @@
             stops: BTreeMap::new(),
             hires: BTreeMap::new(),
             refused: BTreeMap::new(),
-            sold_out_since: None,
             health: Health::default(),
             ways: Ways::default(),
             dirty: true,
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -35,9 +35,6 @@
     pub max_machines: usize,
     /// Spare room for replicas, in CPUs.
     pub spare_cpus: f64,
-    /// How many times the spot price an ordinary machine may cost for work that
-    /// could run on a spot machine, when there is none.
-    pub spot_premium: f64,
     /// Log format.
     pub log_format: LogFormat,
     /// Nomad's job files and interface, if they are served.
@@ -56,7 +53,6 @@
             silent_delete: Micros::millis(5500),
             max_machines: usize::MAX,
             spare_cpus: 4.0,
-            spot_premium: 3.0,
             log_format: LogFormat::Plain,
             nomad: None,
         }
@@ -116,9 +112,6 @@
         if let Some(v) = number("spare_cpus", 0.0, 100_000.0) {
             o.spare_cpus = v;
         }
-        if let Some(v) = number("spot_premium", 0.0, 1_000.0) {
-            o.spot_premium = v;
-        }
         if let Some(f) = msg.get_field_by_name("log_format").filter(|_| msg.has_field_by_name("log_format")) {
             match f.as_str() {
                 Some("plain") => o.log_format = LogFormat::Plain,
