--- a/crates/core/src/node/market.rs
+++ b/crates/core/src/node/catalogue.rs
@@ -4,9 +4,9 @@
 use gorseshore_protocol::cloud::{Flavor, Flavors};
 use gorseshore_protocol::ids::{Micros, Resources};
 
-/// The market.
+/// Machine types and the calls that may be made.
 #[derive(Debug)]
-pub(super) struct Market {
+pub(super) struct Catalogue {
     pub flavors: Vec<Flavor>,
     pub sizes: Sizes,
     pub asked_at: Micros,
@@ -15,10 +15,10 @@
     pub bucket: Bucket,
 }
 
-impl Market {
+impl Catalogue {
     /// Nothing known; `calls` a second are the cloud's.
     pub fn new(calls: f64, now: Micros) -> Self {
-        Market {
+        Catalogue {
             flavors: Vec::new(),
             sizes: Sizes::new(),
             asked_at: Micros(0),
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -128,7 +128,7 @@
         if let Some(job) = self.mirror.ledger.jobs.get(&id) {
             self.ctl.job_changed(id, job);
         }
-        if let Some(l) = self.office.leader.as_mut() {
+        if let Some(l) = self.leadership.leader.as_mut() {
             l.job_changed(id, &self.mirror.ledger, self.now);
         }
     }
@@ -140,16 +140,16 @@
         let turn = if self.mirror.ledger.leader.is_none() {
             self.my_turn()
         } else {
-            self.office.vacant_since = None;
+            self.leadership.vacant_since = None;
             false
         };
-        match self.office.election.role {
+        match self.leadership.election.role {
             Role::Follower => match &self.mirror.ledger.leader {
-                None if self.now >= self.office.election.not_before
+                None if self.now >= self.leadership.election.not_before
                     && !self.mirror.state_refuses(self.now)
                     && turn =>
                 {
-                    self.office.election.role = Role::Candidate;
+                    self.leadership.election.role = Role::Candidate;
                     let life = self.operator.leader_lease.0 / 1000;
                     let body = json!({ "life_ms": life }).to_string().into_bytes();
                     let id = self.state("POST", "/grants".into(), body, Micros::millis(1000));
@@ -157,13 +157,13 @@
                 }
                 Some((rec, _))
                     if rec.node == self.nodes.names[self.nodes.me.0 as usize]
-                        && self.office.ended_lease != Some(rec.lease) =>
+                        && self.leadership.ended_lease != Some(rec.lease) =>
                 {
                     // An earlier process of this node led; its lease need not
                     // run out first.
                     info!("ending the lease of this node's earlier process");
                     let path = format!("/grants/{}", rec.lease);
-                    self.office.ended_lease = Some(rec.lease);
+                    self.leadership.ended_lease = Some(rec.lease);
                     let id = self.state("DELETE", path, Vec::new(), Micros::millis(1000));
                     self.calls.insert(id, Purpose::EndLease);
                 }
@@ -181,12 +181,12 @@
                     // cluster serves it better.
                     self.end_lease(lease);
                     self.step_down("it hears no other controller");
-                    self.office.election.not_before = self.now + Micros::secs(4);
+                    self.leadership.election.not_before = self.now + Micros::secs(4);
                     return;
                 }
-                if self.office.election.renewal_due(self.now) {
-                    self.office.election.renewing = true;
-                    self.office.election.last_sent = self.now;
+                if self.leadership.election.renewal_due(self.now) {
+                    self.leadership.election.renewing = true;
+                    self.leadership.election.last_sent = self.now;
                     let path = format!("/grants/{lease}/renew");
                     let timeout = self.operator.leader_lease.scale(1, 3);
                     let id = self.state("POST", path, Vec::new(), timeout);
@@ -203,7 +203,7 @@
             .map(|i| NodeId(i as u8))
             .filter(|n| *n != self.nodes.me && !self.hears(*n, HEARD) && !self.company.refuses(*n, self.now))
             .count() as u64;
-        let since = *self.office.vacant_since.get_or_insert(self.now);
+        let since = *self.leadership.vacant_since.get_or_insert(self.now);
         self.now.since(since) >= Micros::millis(400 * unheard)
     }
 
@@ -212,48 +212,48 @@
         let others: Vec<NodeId> =
             (0..self.company.peers.len()).map(|i| NodeId(i as u8)).filter(|n| *n != self.nodes.me).collect();
         if others.iter().any(|n| self.hears(*n, Micros::millis(3000))) {
-            self.office.had_company = true;
+            self.leadership.had_company = true;
             return false;
         }
-        self.office.had_company && !others.iter().any(|n| self.company.refuses(*n, self.now))
+        self.leadership.had_company && !others.iter().any(|n| self.company.refuses(*n, self.now))
     }
 
     pub(super) fn step_down(&mut self, why: &str) {
-        if let Role::Leader { term, lease, .. } = self.office.election.role {
-            self.office.ended_lease = Some(lease);
+        if let Role::Leader { term, lease, .. } = self.leadership.election.role {
+            self.leadership.ended_lease = Some(lease);
             warn!("no longer leading term {term}: {why}");
         }
         let pause = Micros::millis(200 + self.rng.u64(0..400));
-        self.office.election.lost(self.now, pause);
-        self.office.leader = None;
-        self.office.won = None;
+        self.leadership.election.lost(self.now, pause);
+        self.leadership.leader = None;
+        self.leadership.won = None;
     }
 
     /// The leader's work.
     pub(super) fn lead(&mut self) {
         // The mirror must hold everything that was there when the key was taken.
-        if let Some((term, stamp)) = self.office.won
+        if let Some((term, stamp)) = self.leadership.won
             && self.mirror.ledger.applied >= stamp
-            && !self.market.sizes.is_empty()
+            && !self.catalogue.sizes.is_empty()
         {
-            self.office.won = None;
+            self.leadership.won = None;
             if self.mirror.ledger.leader.as_ref().is_some_and(|(r, s)| *s == stamp && r.term == term) {
                 let l = Leader::new(
                     self.ctx.clone(),
                     term,
                     stamp,
                     &self.mirror.ledger,
-                    &self.market.sizes,
+                    &self.catalogue.sizes,
                     self.now,
                     self.wall_ms,
                 );
-                self.office.take_up(l);
+                self.leadership.take_up(l);
                 self.sync(true);
             }
         }
         self.take_over_books();
-        let may = self.office.election.may_lead(self.now);
-        let Some(l) = self.office.leader.as_mut() else { return };
+        let may = self.leadership.election.may_lead(self.now);
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         if l.exhausted() {
             return self.step_down("its numbers are used up");
         }
@@ -276,7 +276,7 @@
     /// Gets a new leader the books of the one before: from this node if it was
     /// a witness, else from another.
     fn take_over_books(&mut self) {
-        let Some(l) = self.office.leader.as_mut() else { return };
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         let Some(w) = l.books_wanted() else { return };
         let term = w.term;
         let me = &self.nodes.names[self.nodes.me.0 as usize];
@@ -296,7 +296,7 @@
 
     /// Another controller sent the books that were wanted.
     pub(super) fn books_came(&mut self, from: NodeId, incarnation: u64, page: Page) {
-        let Some(l) = self.office.leader.as_mut() else { return };
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         let Some(w) = l.books_wanted() else { return };
         // Only the very process on record: a later one has not been kept up.
         let name = self.nodes.names.get(from.0 as usize);
@@ -312,14 +312,14 @@
 
     /// Writes who holds the books, when that changes.
     fn record_witnesses(&mut self) {
-        let Role::Leader { stamp: mine, term, .. } = self.office.election.role else { return };
-        let Some(l) = self.office.leader.as_mut() else { return };
+        let Role::Leader { stamp: mine, term, .. } = self.leadership.election.role else { return };
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         let all = (0..self.company.peers.len()).map(|i| NodeId(i as u8));
         let ended: Vec<NodeId> = all.filter(|n| self.company.refuses(*n, self.now)).collect();
         let Some((record, stamp)) = l.books_record(&self.mirror.ledger, &ended, self.now) else { return };
         let names: Vec<&str> = record.nodes.iter().map(|(n, _)| n.as_str()).collect();
         debug!("witnesses of term {term}: {}", names.join(", "));
-        self.office.bucket.force(self.now, 1.0);
+        self.leadership.bucket.force(self.now, 1.0);
         let when =
             vec![When { path: keys::LEADER.into(), stamp: mine }, When { path: keys::BOOKS.into(), stamp }];
         let put = Write::Put { put: keys::BOOKS.into(), v: json!(record), hold: None };
@@ -328,26 +328,26 @@
     }
 
     pub(super) fn leader_writes(&mut self) {
-        let Role::Leader { stamp: mine, term, .. } = self.office.election.role else { return };
+        let Role::Leader { stamp: mine, term, .. } = self.leadership.election.role else { return };
         // What is to be written is looked for in all jobs and machines: not at
         // every input.
         let again = Micros::millis(40);
-        if self.office.txns >= 3
-            || self.now < self.office.retry_at
-            || self.now.since(self.office.wrote_at) < again
+        if self.leadership.txns >= 3
+            || self.now < self.leadership.retry_at
+            || self.now.since(self.leadership.wrote_at) < again
         {
             return;
         }
-        self.office.wrote_at = self.now;
-        let Some(l) = self.office.leader.as_mut() else { return };
+        self.leadership.wrote_at = self.now;
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         l.note_unrecorded(&self.mirror.ledger, self.now);
         l.note_recorded(&self.mirror.ledger);
-        let Some(l) = self.office.leader.as_ref() else { return };
+        let Some(l) = self.leadership.leader.as_ref() else { return };
         let todo: Vec<LeaderWrite> = l
             .writes(&self.mirror.ledger, self.value_limit, self.now)
             .into_iter()
-            .filter(|w| !self.office.inflight.contains(w))
-            .filter_map(|w| self.office.uncontested(w, self.now))
+            .filter(|w| !self.leadership.inflight.contains(w))
+            .filter_map(|w| self.leadership.uncontested(w, self.now))
             .collect();
         let mut m = Multi { when: vec![When { path: keys::LEADER.into(), stamp: mine }], writes: Vec::new() };
         let mut taken = Vec::new();
@@ -376,7 +376,7 @@
                 LeaderWrite::Progress(..) | LeaderWrite::Settle(_) => 1.0,
                 LeaderWrite::Forget(_) => 2.0,
             };
-            if !self.office.bucket.take(self.now, cost as f64, keep) {
+            if !self.leadership.bucket.take(self.now, cost as f64, keep) {
                 break;
             }
             let room = match &w {
@@ -472,21 +472,21 @@
         if taken.is_empty() {
             return;
         }
-        if let Some(l) = self.office.leader.as_mut() {
+        if let Some(l) = self.leadership.leader.as_mut() {
             taken.iter().for_each(|w| l.writing(w, true));
         }
-        self.office.inflight.extend(taken.iter().cloned());
-        self.office.txns += 1;
+        self.leadership.inflight.extend(taken.iter().cloned());
+        self.leadership.txns += 1;
         let id = self.multi(&m);
         self.calls.insert(id, Purpose::LeaderWrites(term, taken));
     }
 
     pub(super) fn leader_written(&mut self, term: u64, writes: Vec<LeaderWrite>, result: &CallResult) {
-        if self.office.leader.as_ref().is_none_or(|l| l.term != term) {
+        if self.leadership.leader.as_ref().is_none_or(|l| l.term != term) {
             return;
         }
-        self.office.returned(&writes);
-        let Some(l) = self.office.leader.as_mut() else { return };
+        self.leadership.returned(&writes);
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         for w in &writes {
             l.writing(w, false);
         }
@@ -505,22 +505,22 @@
                 }
                 // The mirror is behind: what failed will show there.
                 debug!("records changed meanwhile: {failed:?}");
-                self.office.retry_at = self.now + Micros::millis(60);
-                self.office.contest(&failed, self.now);
+                self.leadership.retry_at = self.now + Micros::millis(60);
+                self.leadership.contest(&failed, self.now);
             }
             r => {
                 debug!("leader's records not confirmed: {r:?}");
                 let pause = Micros::millis(150 + self.rng.u64(0..200));
-                self.office.retry_at = self.now + pause;
+                self.leadership.retry_at = self.now + pause;
             }
         }
     }
 
     pub(super) fn cloud(&mut self, may: bool) {
-        let Some(l) = self.office.leader.as_mut() else { return };
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         let term = l.term;
         let wishes = if may {
-            l.fleet(&self.market.flavors, self.now)
+            l.fleet(&self.catalogue.flavors, self.now)
         } else {
             l.deletions(self.now).into_iter().collect()
         };
@@ -530,7 +530,7 @@
                 CloudWish::Hire(_) => 0.5,
                 CloudWish::List(_) => 1.0,
             };
-            if !self.market.bucket.take(self.now, 1.0, keep) {
+            if !self.catalogue.bucket.take(self.now, 1.0, keep) {
                 continue;
             }
             l.wish_sent(&w, self.now);
@@ -567,7 +567,7 @@
     }
 
     pub(super) fn cloud_called(&mut self, term: u64, wish: CloudWish, result: &CallResult) {
-        let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term) else { return };
+        let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term) else { return };
         let body = match result {
             CallResult::Answer { status: 200, body } => Some(body),
             _ => None,
@@ -580,13 +580,13 @@
             CloudWish::Hire(req) => self.hired(req, result),
             CloudWish::List(_) => {
                 let page: Option<Rentals> = body.and_then(|b| serde_json::from_slice(b).ok());
-                l.listed(page.as_ref().map(|p| &p.hosts[..]), &self.market.sizes, self.now);
+                l.listed(page.as_ref().map(|p| &p.hosts[..]), &self.catalogue.sizes, self.now);
                 if let Some(last) =
                     page.filter(|p| p.truncated).and_then(|p| p.hosts.last().map(|h| h.name.clone()))
                 {
                     let wish = CloudWish::List(Some(last.clone()));
                     l.wish_sent(&wish, self.now);
-                    self.market.bucket.force(self.now, 1.0);
+                    self.catalogue.bucket.force(self.now, 1.0);
                     let id = self.out.call(Call {
                         target: Target::Cloud,
                         method: "GET",
@@ -602,30 +602,30 @@
     }
 
     pub(super) fn hired(&mut self, req: HireRequest, result: &CallResult) {
-        let Some(l) = self.office.leader.as_mut() else { return };
+        let Some(l) = self.leadership.leader.as_mut() else { return };
         match result {
             CallResult::Answer { status: 200, body } => {
                 let hosts = serde_json::from_slice::<Hosts>(body).map(|h| h.hosts).unwrap_or_default();
-                l.hired(&req, Some(&hosts), &self.market.sizes, self.now);
+                l.hired(&req, Some(&hosts), &self.catalogue.sizes, self.now);
             }
             CallResult::Answer { status: 503, body } if body.windows(11).any(|w| w == b"no capacity") => {
-                l.hired(&req, Some(&[]), &self.market.sizes, self.now);
+                l.hired(&req, Some(&[]), &self.catalogue.sizes, self.now);
             }
             CallResult::Answer { status: 400, body } => {
                 error!("rental refused: {}", String::from_utf8_lossy(body));
-                l.hired(&req, Some(&[]), &self.market.sizes, self.now);
+                l.hired(&req, Some(&[]), &self.catalogue.sizes, self.now);
             }
-            _ => l.hired(&req, None, &self.market.sizes, self.now),
+            _ => l.hired(&req, None, &self.catalogue.sizes, self.now),
         }
     }
 
     pub(super) fn flavors(&mut self) {
-        if !self.market.due(self.office.leader.is_some(), self.now) {
+        if !self.catalogue.due(self.leadership.leader.is_some(), self.now) {
             return;
         }
-        self.market.open = true;
-        self.market.asked_at = self.now;
-        self.market.bucket.force(self.now, 1.0);
+        self.catalogue.open = true;
+        self.catalogue.asked_at = self.now;
+        self.catalogue.bucket.force(self.now, 1.0);
         let id = self.out.call(Call {
             target: Target::Cloud,
             method: "GET",
--- a/crates/core/src/node/desk.rs
+++ b/crates/core/src/node/held_check_ins.rs
@@ -4,9 +4,9 @@
 use gorseshore_protocol::workers::Report;
 use std::collections::BTreeMap;
 
-/// The desk.
+/// Check-ins that wait, and workers of others that report here.
 #[derive(Debug, Default)]
-pub(super) struct Desk {
+pub(super) struct HeldCheckIns {
     /// Check-ins that wait for a grant, and until when.
     pub held: BTreeMap<MachineId, (RequestId, Report, Micros)>,
     /// Machines of others that reported here, when.
--- a/crates/core/src/node/office.rs
+++ b/crates/core/src/node/leadership.rs
@@ -8,8 +8,8 @@
 use gorseshore_settings::Operator;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The office.
-pub(super) struct Office {
+/// The election, and what this node does as leader.
+pub(super) struct Leadership {
     pub election: Election,
     /// Term and stamp of a key that was taken and is not yet in the mirror.
     pub won: Option<(u64, u64)>,
@@ -30,10 +30,10 @@
     pub ended_lease: Option<u64>,
 }
 
-impl Office {
+impl Leadership {
     /// Vacant; `changes` a second are the state service's.
     pub fn new(operator: &Operator, changes: f64, now: Micros) -> Self {
-        Office {
+        Leadership {
             election: Election::new(operator.leader_lease),
             won: None,
             leader: None,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,23 +1,23 @@
 //! A whole controller node: its mirror of the state service, its part in the
 //! election, its block, and the leader's work while it leads.
+mod catalogue;
 mod company;
-mod desk;
 mod duties;
+mod held_check_ins;
 mod host;
-mod market;
+mod leadership;
 mod mirror;
-mod office;
 mod peers;
 mod post;
 mod requests;
 mod waiting;
 mod workers;
 
+use catalogue::Catalogue;
 use company::{Company, HEARD};
-use desk::Desk;
-use market::Market;
+use held_check_ins::HeldCheckIns;
+use leadership::Leadership;
 use mirror::Mirror;
-use office::Office;
 use post::Post;
 use waiting::{MAX_WAITING, UserWrite, Users, Waiter};
 
@@ -115,11 +115,11 @@
     incarnation: u64,
     mirror: Mirror,
     users: Users,
-    office: Office,
+    leadership: Leadership,
     company: Company,
     post: Post,
-    market: Market,
-    desk: Desk,
+    catalogue: Catalogue,
+    held_check_ins: HeldCheckIns,
     ctl: Controller,
     /// Books of leaders that this node is a witness of.
     kept: Kept,
@@ -162,11 +162,11 @@
             incarnation: incarnation.max(2),
             mirror: Mirror::default(),
             users: Users::new(w * 0.9 / n, d.state.rps / n, now),
-            office: Office::new(&operator, w, now),
+            leadership: Leadership::new(&operator, w, now),
             company: Company::new(nodes.names.len()),
             post: Post::default(),
-            market: Market::new(d.cloud.rps, now),
-            desk: Desk::default(),
+            catalogue: Catalogue::new(d.cloud.rps, now),
+            held_check_ins: HeldCheckIns::default(),
             ctl: Controller::default(),
             kept: Kept::default(),
             books_asked: Micros(0),
@@ -196,7 +196,7 @@
                 self.ask_guest(GuestInput::Request { id, method, path, token, body });
             }
             Input::Gone(id) => {
-                self.desk.held.retain(|_, (r, ..)| *r != id);
+                self.held_check_ins.held.retain(|_, (r, ..)| *r != id);
                 self.ask_guest(GuestInput::Gone(id));
             }
             Input::Called { id, result } => self.called(id, result),
@@ -218,7 +218,7 @@
     /// Whether what this node keeps as things change agrees with a fresh
     /// count: for tests.
     pub fn check_kept(&self) -> Result<(), String> {
-        self.office.leader.as_ref().map_or(Ok(()), Leader::check_sums)
+        self.leadership.leader.as_ref().map_or(Ok(()), Leader::check_sums)
     }
 
     fn called(&mut self, id: CallId, result: CallResult) {
@@ -297,48 +297,48 @@
                             self.end_lease(g.hold);
                         }
                         let pause = Micros::millis(150 + self.rng.u64(0..300));
-                        self.office.election.lost(self.now, pause);
+                        self.leadership.election.lost(self.now, pause);
                     }
                 }
             }
             Purpose::TakeKey { asked, lease, term } => match &result {
                 CallResult::Answer { status: 200, body } => {
                     let stamp = serde_json::from_slice::<MultiAnswer>(body).map_or(0, |a| a.ledger);
-                    self.office.election.won(term, lease, stamp, asked);
-                    self.office.had_company = false;
-                    self.office.won = Some((term, stamp));
+                    self.leadership.election.won(term, lease, stamp, asked);
+                    self.leadership.had_company = false;
+                    self.leadership.won = Some((term, stamp));
                     self.barrier();
                 }
                 _ => {
                     // Lost, or nobody knows: without its lease a late key goes too.
                     self.end_lease(lease);
                     let pause = Micros::millis(200 + self.rng.u64(0..400));
-                    self.office.election.lost(self.now, pause);
+                    self.leadership.election.lost(self.now, pause);
                 }
             },
             Purpose::Renew { sent } => match result {
-                CallResult::Answer { status: 200, .. } => self.office.election.renewed(sent),
+                CallResult::Answer { status: 200, .. } => self.leadership.election.renewed(sent),
                 CallResult::Answer { status: 404, .. } => {
-                    if self.office.election.term().is_some() {
+                    if self.leadership.election.term().is_some() {
                         self.step_down("its lease ended");
                     }
                 }
-                _ => self.office.election.renewing = false,
+                _ => self.leadership.election.renewing = false,
             },
             Purpose::EndLease | Purpose::Mail => {}
             Purpose::LeaderWrites(term, w) => self.leader_written(term, w, &result),
             Purpose::BooksRecord(term) => {
-                if let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term) {
+                if let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term) {
                     l.books_record_ended();
                 }
             }
             Purpose::Cloud(term, w) => self.cloud_called(term, w, &result),
             Purpose::Flavors => {
-                self.market.open = false;
+                self.catalogue.open = false;
                 if let CallResult::Answer { status: 200, body } = &result
                     && let Ok(f) = serde_json::from_slice::<Flavors>(body)
                 {
-                    self.market.take(f);
+                    self.catalogue.take(f);
                 }
             }
             Purpose::Worker(m) => {
@@ -408,7 +408,7 @@
         for (id, job) in &self.mirror.ledger.jobs {
             self.ctl.job_changed(*id, job);
         }
-        if let Some(l) = self.office.leader.as_mut() {
+        if let Some(l) = self.leadership.leader.as_mut() {
             for id in self.mirror.ledger.jobs.keys() {
                 l.job_changed(*id, &self.mirror.ledger, self.now);
             }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -7,7 +7,7 @@
 
 impl Node {
     pub(super) fn leader_node(&self) -> Option<NodeId> {
-        if self.office.leader.is_some() {
+        if self.leadership.leader.is_some() {
             return Some(self.nodes.me);
         }
         let (rec, _) = self.mirror.ledger.leader.as_ref()?;
@@ -111,7 +111,7 @@
                 }
             }
             Message::Sync { term, seq, base, seen, machines, heard, strangers, outcomes } => {
-                if let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term) {
+                if let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term) {
                     let view = View {
                         seq,
                         base,
@@ -125,9 +125,9 @@
                 }
             }
             Message::Seen { id, build, zone, spot, addr } => {
-                if let Some(l) = self.office.leader.as_mut() {
+                if let Some(l) = self.leadership.leader.as_mut() {
                     let rec = MachineRecord { build, zone, spot, addr };
-                    l.seen(from, &id, &rec, &self.market.sizes, self.now);
+                    l.seen(from, &id, &rec, &self.catalogue.sizes, self.now);
                 }
             }
             Message::Update {
@@ -153,7 +153,7 @@
                 }
                 self.ctl.take_ack(ack, lease);
                 self.ctl.take_running(base == 0, &running);
-                self.ctl.take_handouts(&handouts, &self.mirror.ledger, &self.market.sizes, self.now);
+                self.ctl.take_handouts(&handouts, &self.mirror.ledger, &self.catalogue.sizes, self.now);
                 self.ctl.take_stops(&stops);
                 self.answer_held();
                 self.drive();
@@ -171,8 +171,8 @@
                 self.out.send(from, Message::BooksTaken { term, seq });
             }
             Message::BooksTaken { term, seq } => {
-                let may = self.office.election.may_lead(self.now);
-                if let Some(l) = self.office.leader.as_mut().filter(|l| l.term == term)
+                let may = self.leadership.election.may_lead(self.now);
+                if let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term)
                     && l.books_taken(from, incarnation, seq, self.now)
                 {
                     let messages = l.messages(self.now, may);
@@ -224,8 +224,8 @@
         }
         self.company.sync_at = self.now;
         let recent = self.now - Micros::millis(2500);
-        self.desk.strangers.retain(|_, t| *t > recent);
-        let strangers = self.desk.strangers.keys().cloned().collect();
+        self.held_check_ins.strangers.retain(|_, t| *t > recent);
+        let strangers = self.held_check_ins.strangers.keys().cloned().collect();
         let m = self.ctl.sync(term, strangers, &self.mirror.ledger, self.now);
         self.send(to, m);
     }
--- a/crates/core/src/node/post.rs
+++ b/crates/core/src/node/post.rs
@@ -10,7 +10,7 @@
 /// number of parts, text.
 type Part = (u64, u64, usize, usize, String);
 
-/// The post office.
+/// Messages that wait to go that way, and parts that came.
 #[derive(Debug, Default)]
 pub(super) struct Post {
     /// The last message of each sort for each controller.
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -133,10 +133,10 @@
         if !team.could_run(&s) {
             return Err((422, format!("more than the limit of team {}", s.team)));
         }
-        if self.market.flavors.is_empty() {
+        if self.catalogue.flavors.is_empty() {
             return Err((503, "the machine types are not known yet".into()));
         }
-        let fits = self.market.flavors.iter().any(|f| {
+        let fits = self.catalogue.flavors.iter().any(|f| {
             let size = Resources::have(f.cpus, f.gpus, f.memory_gb);
             f.yards.iter().any(|z| s.allows(&f.sku, z, false, &size))
         });
@@ -235,8 +235,8 @@
                 UserWrite::Guest(t, m, as_leader) => {
                     let mut m = Multi::clone(m);
                     if *as_leader {
-                        match self.office.election.role {
-                            Role::Leader { stamp, .. } if self.office.leader.is_some() => {
+                        match self.leadership.election.role {
+                            Role::Leader { stamp, .. } if self.leadership.leader.is_some() => {
                                 m.when.push(When { path: keys::LEADER.into(), stamp });
                             }
                             _ => {
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -28,7 +28,7 @@
                     // A grant may come in a moment: the answer waits for it.
                     None => {
                         let until = self.now + Micros::millis(600);
-                        if let Some((old, r, _)) = self.desk.held.insert(machine, (id, r, until)) {
+                        if let Some((old, r, _)) = self.held_check_ins.held.insert(machine, (id, r, until)) {
                             self.keep_alive(old, &r);
                         }
                     }
@@ -43,12 +43,12 @@
     fn holder_to_name(&mut self, machine: &MachineId, holder: Option<NodeId>) -> Option<NodeId> {
         let n = holder.filter(|n| *n != self.nodes.me && self.hears(*n, HEARD))?;
         let now = self.now;
-        self.desk.redirected.retain(|_, t| now.since(*t) < Micros::secs(12));
-        match self.desk.redirected.get(machine) {
+        self.held_check_ins.redirected.retain(|_, t| now.since(*t) < Micros::secs(12));
+        match self.held_check_ins.redirected.get(machine) {
             Some(t) if now.since(*t) > Micros::millis(1500) => None,
             Some(_) => Some(n),
             None => {
-                self.desk.redirected.insert(machine.clone(), now);
+                self.held_check_ins.redirected.insert(machine.clone(), now);
                 Some(n)
             }
         }
@@ -76,7 +76,7 @@
     pub(super) fn tell_seen(&mut self, id: &MachineId, rec: MachineRecord) {
         if self.mirror.ledger.machines.contains_key(id) {
             // The leader knows it: the next `Sync` names it.
-            self.desk.strangers.insert(id.clone(), self.now);
+            self.held_check_ins.strangers.insert(id.clone(), self.now);
             self.ctl.dirty = true;
         } else if let Some(to) = self.leader_node() {
             let m = Message::Seen {
@@ -92,14 +92,14 @@
 
     pub(super) fn answer_held(&mut self) {
         let due: Vec<MachineId> = self
-            .desk
+            .held_check_ins
             .held
             .iter()
             .filter(|(m, (.., until))| self.ctl.holds(m) || self.now >= *until)
             .map(|(m, _)| m.clone())
             .collect();
         for m in due {
-            let Some((id, r, _)) = self.desk.held.remove(&m) else { continue };
+            let Some((id, r, _)) = self.held_check_ins.held.remove(&m) else { continue };
             let tasks = read_tasks(&r).unwrap_or_default();
             match self.ctl.checkin(&r, tasks, &self.mirror.ledger, self.now) {
                 CheckinReply::Orders(baton, orders) => {
