Read once more: twins made one piece, no strings made for each look at a way

The leader's pass over silent machines built two strings a machine, ten times a second, to look up when its way opened; ways are kept by zone now. A Sync is read into a View in one place, for the node and for the measurement; the stand-in clouds' machine types, the worlds' jobs and the leader's tests of silent machines have one maker each.

--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -429,6 +429,18 @@
     pub outcomes: &'a [Outcome],
 }
 
+impl<'a> View<'a> {
+    /// What a `Sync` says, and to the leader of which term; `None` of any other
+    /// message.
+    pub fn of(m: &'a Message) -> Option<(u64, View<'a>)> {
+        let Message::Sync { term, seq, base, seen, machines, heard, strangers, outcomes } = m else {
+            return None;
+        };
+        let (seq, base, seen) = (*seq, *base, *seen);
+        Some((*term, View { seq, base, seen, machines, heard, strangers, outcomes }))
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum HireStage {
     ToRecord,
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -341,6 +341,31 @@
     }
 }
 
+/// `A` holds `m0` and `m1`, and `m0` falls silent: whether it is deleted after so
+/// many seconds each. `hears` says who hears `m1` in a second.
+fn m0_deleted(hears: impl Fn(u64) -> Option<NodeId>, looks: &[u64]) -> Vec<bool> {
+    let mut b = Bench::new(2);
+    for id in ["m0", "m1"] {
+        b.leader.grant(&m(id), A, "test", b.now);
+        b.confirm(id, &[]);
+    }
+    // Neither controller is in the machines' zone.
+    b.leader.ctx.zones = vec!["west".into(), "west".into()];
+    let mut got = Vec::new();
+    for second in 1..=looks.iter().copied().max().unwrap_or(0) {
+        b.tick(1000);
+        let s = b.state("m1", b.token("m1"), &[]);
+        for n in [A, B] {
+            let states = if hears(second) == Some(n) { vec![s.clone()] } else { Vec::new() };
+            b.sync(n, &states, &[]);
+        }
+        if looks.contains(&second) {
+            got.push(b.leader.machines[&m("m0")].stage == Stage::Deleting);
+        }
+    }
+    got
+}
+
 /// A cut looks like the death of one machine after the other. Two grown days
 /// lost half their replicas to deletions of live machines.
 #[test]
@@ -352,25 +377,7 @@
         ("nobody: the zone may be cut off", None, [false, false]),
     ];
     for (what, hears, deleted) in cases {
-        let mut b = Bench::new(2);
-        for id in ["m0", "m1"] {
-            b.leader.grant(&m(id), A, "test", b.now);
-            b.confirm(id, &[]);
-        }
-        // Neither controller is in the machines' zone.
-        b.leader.ctx.zones = vec!["west".into(), "west".into()];
-        let mut got = Vec::new();
-        for second in 1..=30 {
-            b.tick(1000);
-            let s = b.state("m1", b.token("m1"), &[]);
-            for n in [A, B] {
-                let states = if hears == Some(n) { vec![s.clone()] } else { Vec::new() };
-                b.sync(n, &states, &[]);
-            }
-            if second == 7 || second == 30 {
-                got.push(b.leader.machines[&m("m0")].stage == Stage::Deleting);
-            }
-        }
+        let got = m0_deleted(|_| hears, &[7, 30]);
         assert_eq!(got, deleted, "m1 is heard by {what}");
     }
 }
@@ -381,24 +388,7 @@
 fn the_end_of_a_cut_dooms_nobody() {
     // (who hears m1 once the cut is over, whether m0 is deleted then after 2 s, 4 s, 30 s)
     for (hears, deleted) in [(A, [false, false, true]), (B, [false, false, true])] {
-        let mut b = Bench::new(2);
-        for id in ["m0", "m1"] {
-            b.leader.grant(&m(id), A, "test", b.now);
-            b.confirm(id, &[]);
-        }
-        b.leader.ctx.zones = vec!["west".into(), "west".into()];
-        let mut got = Vec::new();
-        for second in 1..=70 {
-            b.tick(1000);
-            let s = b.state("m1", b.token("m1"), &[]);
-            for n in [A, B] {
-                let states = if hears == n && second > 40 { vec![s.clone()] } else { Vec::new() };
-                b.sync(n, &states, &[]);
-            }
-            if [42, 44, 70].contains(&second) {
-                got.push(b.leader.machines[&m("m0")].stage == Stage::Deleting);
-            }
-        }
+        let got = m0_deleted(|second| (second > 40).then_some(hears), &[42, 44, 70]);
         assert_eq!(got, deleted, "m1 is heard by {hears:?}");
     }
 }
--- a/crates/core/src/leader/ways.rs
+++ b/crates/core/src/leader/ways.rs
@@ -14,14 +14,18 @@
 /// Ways to zones as they were heard.
 #[derive(Debug, Default)]
 pub struct Ways {
-    ways: BTreeMap<(Option<NodeId>, String), Way>,
+    zones: BTreeMap<String, BTreeMap<Option<NodeId>, Way>>,
 }
 
 impl Ways {
     /// A machine of the zone was heard at `at` by a controller, or by any of
     /// them (`None`). After more than `gap` without a word the way opens anew.
     pub fn heard(&mut self, by: Option<NodeId>, zone: &str, at: Micros, gap: Micros) {
-        let way = self.ways.entry((by, zone.to_owned())).or_default();
+        let zone = match self.zones.get_mut(zone) {
+            Some(z) => z,
+            None => self.zones.entry(zone.to_owned()).or_default(),
+        };
+        let way = zone.entry(by).or_default();
         if at > way.last + gap {
             way.since = at;
         }
@@ -30,6 +34,6 @@
 
     /// Since when the way has been open; zero if nothing was heard on it.
     pub fn open_since(&self, by: Option<NodeId>, zone: &str) -> Micros {
-        self.ways.get(&(by, zone.to_owned())).map_or(Micros(0), |w| w.since)
+        self.zones.get(zone).and_then(|z| z.get(&by)).map_or(Micros(0), |w| w.since)
     }
 }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -110,17 +110,10 @@
                     }
                 }
             }
-            Message::Sync { term, seq, base, seen, machines, heard, strangers, outcomes } => {
-                if let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term) {
-                    let view = View {
-                        seq,
-                        base,
-                        seen,
-                        machines: &machines,
-                        heard: &heard,
-                        strangers: &strangers,
-                        outcomes: &outcomes,
-                    };
+            m @ Message::Sync { .. } => {
+                if let Some((term, view)) = View::of(&m)
+                    && let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term)
+                {
                     l.sync(from, incarnation, &view, &self.mirror.ledger, self.now);
                 }
             }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! service and the worker as state machines, for worlds in memory, and a whole
 //! site of them on loopback round the real controllers.
 #![warn(missing_docs)]
+pub mod cloud;
 pub mod measure;
 pub mod net;
 pub mod scale;
--- a/crates/standins/src/scale.rs
+++ b/crates/standins/src/scale.rs
@@ -2,13 +2,13 @@
 //! rental decision, and a new leader's start against past jobs. The leader and
 //! the controllers' own parts are driven directly, in one thread; messages take
 //! no time and are not encoded. What is measured is their processing only.
+use crate::cloud::flavor;
 use crate::worker::{Facts, Machine};
 use gorseshore_core::books::Kept;
 use gorseshore_core::controller::{CheckinReply, Controller, Sizes, read_tasks};
 use gorseshore_core::jobs::{Ledger, job_value, keys, machines_value};
 use gorseshore_core::leader::{Context, Leader, View};
 use gorseshore_core::peer::Message;
-use gorseshore_protocol::cloud::Flavor;
 use gorseshore_protocol::ids::{JobId, MachineId, Micros, NodeId, Resources, TaskId};
 use gorseshore_protocol::users::parse_submission;
 use gorseshore_settings::{Operator, Team};
@@ -202,16 +202,7 @@
         }
         for i in 0..self.controllers.len() {
             let m = self.controllers[i].sync(1, Vec::new(), &self.ledger, self.now);
-            if let Message::Sync { seq, base, seen, machines, heard, strangers, outcomes, .. } = m {
-                let view = View {
-                    seq,
-                    base,
-                    seen,
-                    machines: &machines,
-                    heard: &heard,
-                    strangers: &strangers,
-                    outcomes: &outcomes,
-                };
+            if let Some((_, view)) = View::of(&m) {
                 self.leader.sync(NodeId(i as u8), 1, &view, &self.ledger, self.now);
             }
         }
@@ -305,18 +296,7 @@
             self.job("array", 40, CPUS)?;
         }
         self.leader.tick(&self.ledger, self.now + Micros::millis(25));
-        let flavor = |sku: &str, cpus: f64| Flavor {
-            sku: sku.into(),
-            cpus,
-            gpus: 0.0,
-            memory_gb: cpus * 4.0,
-            cache_gb: 40.0,
-            pull_gb_per_s: 1.0,
-            hourly: cpus / 10.0,
-            spot_price: Some(cpus / 30.0),
-            boot_s: 30.0,
-            yards: ZONES.iter().map(|z| (*z).to_owned()).collect(),
-        };
+        let flavor = |sku: &str, cpus: f64| flavor(sku, cpus, cpus / 10.0, 1.0 / 3.0, 30.0, &ZONES);
         let flavors = [flavor("big", CPUS), flavor("huge", 4.0 * CPUS)];
         let mut spent = 0.0;
         for _ in 0..ROUNDS {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -1,6 +1,7 @@
 //! A whole site on loopback in one process: state service, cloud and workers
 //! as stand-ins, and the real controllers in threads of their own. Nothing is
 //! kept when the process ends.
+use crate::cloud::flavor;
 use crate::net::{Handler, call, serve};
 use crate::state::{Outcome, State};
 use crate::worker::{Facts, Machine};
@@ -280,18 +281,7 @@
 }
 
 fn flavors() -> Vec<Flavor> {
-    let f = |sku: &str, cpus: f64, hourly| Flavor {
-        sku: sku.into(),
-        cpus,
-        gpus: 0.0,
-        memory_gb: cpus * 4.0,
-        cache_gb: 40.0,
-        pull_gb_per_s: 1.0,
-        hourly,
-        spot_price: Some(hourly * 0.4),
-        boot_s: 0.3,
-        yards: ZONES.iter().map(|z| (*z).to_owned()).collect(),
-    };
+    let f = |sku: &str, cpus, hourly| flavor(sku, cpus, hourly, 0.4, 0.3, &ZONES);
     vec![f("small", 4.0, 0.4), f("big", 16.0, 1.5)]
 }
 
--- a/tests/world/fleet.rs
+++ b/tests/world/fleet.rs
@@ -234,29 +234,8 @@
             "image_gb": 0.4, "builds": null, "yard": null, "same_place": false,
             "apart": spread, "loaners": spot, "guess_s": run_us as f64 / 1e6,
             "mark_s": 0.0, "stow_s": 0.0, "due_s": null});
-        self.jobs.push(Job {
-            body,
-            team: "free".into(),
-            service,
-            tasks,
-            cpus,
-            run_us,
-            save_us: None,
-            spread,
-            spot,
-            build: None,
-            submitted: false,
-            accepted: false,
-            asked_at: 0,
-            accepted_at: 0,
-            tries: 0,
-            abort_asked: false,
-            aborted_at: None,
-            told_done: false,
-            done: vec![false; tasks as usize],
-            next_try: 0,
-            abort_at: u64::MAX,
-        });
+        let job = Job::new(body, "free", service, tasks, cpus, run_us);
+        self.jobs.push(Job { spread, spot, ..job });
     }
 }
 
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod nomad;
 
+use gorseshore_standins::cloud::flavor;
 use gorseshore_standins::{state, worker};
 
 use gorseshore_core::node::Node;
@@ -155,6 +156,35 @@
     abort_at: u64,
 }
 
+impl Job {
+    /// Not yet sent; it may run on any ordinary machine and is never cancelled.
+    fn new(body: Value, team: &str, service: bool, tasks: u32, cpus: f64, run_us: u64) -> Job {
+        Job {
+            body,
+            team: team.into(),
+            service,
+            tasks,
+            cpus,
+            run_us,
+            save_us: None,
+            spread: false,
+            spot: false,
+            build: None,
+            submitted: false,
+            accepted: false,
+            asked_at: 0,
+            accepted_at: 0,
+            tries: 0,
+            abort_asked: false,
+            aborted_at: None,
+            told_done: false,
+            done: vec![false; tasks as usize],
+            next_try: 0,
+            abort_at: u64::MAX,
+        }
+    }
+}
+
 #[derive(Debug)]
 enum Event {
     Tick(usize),
@@ -390,18 +420,7 @@
     // ---- cloud -----------------------------------------------------------
 
     fn flavors() -> Vec<Flavor> {
-        let f = |sku: &str, cpus, hourly| Flavor {
-            sku: sku.into(),
-            cpus,
-            gpus: 0.0,
-            memory_gb: cpus * 4.0,
-            cache_gb: 40.0,
-            pull_gb_per_s: 1.0,
-            hourly,
-            spot_price: Some(hourly * 0.3),
-            boot_s: 8.0,
-            yards: ZONES.iter().map(|z| z.to_string()).collect(),
-        };
+        let f = |sku: &str, cpus, hourly| flavor(sku, cpus, hourly, 0.3, 8.0, &ZONES);
         vec![f("small", 4.0, 0.4), f("big", 16.0, 1.5)]
     }
 
@@ -852,29 +871,8 @@
             "image_gb": 0.4, "builds": build.map(|b| vec![b]), "yard": null, "same_place": false,
             "apart": spread, "loaners": spot, "guess_s": run_us as f64 / 1e6,
             "mark_s": if save_us.is_some() { 5.0 } else { 0.0 }, "stow_s": 2.0, "due_s": null});
-        self.jobs.push(Job {
-            body,
-            team: team.into(),
-            service,
-            tasks,
-            cpus,
-            run_us,
-            save_us,
-            spread,
-            spot,
-            build,
-            submitted: false,
-            accepted: false,
-            asked_at: 0,
-            accepted_at: 0,
-            tries: 0,
-            abort_asked: false,
-            aborted_at: None,
-            told_done: false,
-            done: vec![false; tasks as usize],
-            next_try: 0,
-            abort_at,
-        });
+        let job = Job::new(body, team, service, tasks, cpus, run_us);
+        self.jobs.push(Job { save_us, spread, spot, build, abort_at, ..job });
     }
 
     fn trouble(&mut self) {
