Leader: machines with room kept in order, so that a hand-out looks at a few of them

A hand-out went through all machines, each pass sorted all waiting jobs, a replica without room went through all machines for work to stop, and rentals tried every waiting job against every machine. Change: places by kind, image and free CPUs (leader/room.rs); the order of waiting jobs is kept for 250 ms while nothing begins to wait; a pass ends where nothing has room for the least that waits; machines with work that may be stopped are found once a pass, 8,000 looks at most; needs that no room fits are tried once a rental decision; records look only at jobs that made progress.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -97,9 +97,10 @@
         *zone_cpu.entry(r.zone.clone()).or_default() += r.size.cpu;
     }
     rooms.retain(|r| r.free.cpu > 0 || r.lent > 0 && !r.spot);
+    let mut nowhere = Nowhere::default();
     for d in demands {
         let mut zones = d.zones.clone();
-        let left = d.waiting - fill(&mut rooms, &zone_cpu, &d.spec, &mut zones, d.waiting);
+        let left = d.waiting - fill(&mut rooms, &zone_cpu, &mut nowhere, &d.spec, &mut zones, d.waiting);
         if d.spec.kind == Kind::Array {
             placed_arrays += (d.waiting - left) as f64;
         }
@@ -127,7 +128,7 @@
         // waits for the next spot machine, or fills the room that replicas leave.
         let spot_only = spec.kind == Kind::Array
             && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
-        left -= fill(&mut rooms, &zone_cpu, &spec, &mut zones, left);
+        left -= fill(&mut rooms, &zone_cpu, &mut nowhere, &spec, &mut zones, left);
         while left > 0 && added < policy.max_new {
             let best = offers
                 .iter()
@@ -150,6 +151,7 @@
                 lent: 0,
             };
             left -= put(&mut room, &spec, &mut zones, left);
+            nowhere.forget();
             rooms.push(room);
             *wants.entry(Want { build: o.build.clone(), zone: o.zone.clone(), spot: o.spot }).or_default() +=
                 1;
@@ -183,15 +185,42 @@
     !(spec.one_zone && elsewhere) && here < spec.zone_cap()
 }
 
+/// Needs that no room fits: as rooms only get smaller, a task that takes as much
+/// or more need not be tried.
+#[derive(Debug, Default)]
+struct Nowhere(Vec<Resources>);
+
+impl Nowhere {
+    fn covers(&self, need: &Resources) -> bool {
+        self.0.iter().any(|n| need.fits(n))
+    }
+    fn add(&mut self, need: Resources) {
+        self.0.retain(|n| !n.fits(&need));
+        self.0.push(need);
+    }
+    /// Room was added.
+    fn forget(&mut self) {
+        self.0.clear();
+    }
+}
+
 /// Puts up to `left` tasks of the job where there is room, the best first; how
 /// many found some.
 fn fill(
     rooms: &mut [Room],
     zone_cpu: &BTreeMap<String, u64>,
+    nowhere: &mut Nowhere,
     spec: &JobSpec,
     zones: &mut BTreeMap<String, u32>,
     left: u32,
 ) -> u32 {
+    if nowhere.covers(&spec.need) {
+        return 0;
+    }
+    if !rooms.iter().any(|r| r.free.fits(&spec.need)) {
+        nowhere.add(spec.need);
+        return 0;
+    }
     let zone_cpu = |z: &str| match spec.kind {
         Kind::Service => zone_cpu.get(z).copied().unwrap_or(0),
         Kind::Array => 0,
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -209,6 +209,7 @@
         match state {
             TaskState::Done if run.spec.kind == Kind::Array && task.index < run.spec.tasks => {
                 run.proven = true;
+                self.progressed.insert(task.job);
                 if run.done.insert(task.index)
                     && ledger.jobs.get(&task.job).is_some_and(|j| !j.done.contains(task.index))
                 {
@@ -283,7 +284,10 @@
             run.bound.remove(&task.index);
             self.books.note(task);
             self.sums.freed(&run.spec);
-            run.again.insert(task.index);
+            if !run.done.contains(task.index) {
+                run.again.insert(task.index);
+                self.requeue = true;
+            }
             self.stops.remove(&(task, attempt));
             self.dirty = true;
         }
@@ -325,7 +329,13 @@
 
     /// The cloud said that the machine and everything on it are gone.
     pub(super) fn machine_gone(&mut self, id: &MachineId, now: Micros) {
-        let tasks = self.machines.remove(id).map(|m| m.bound).unwrap_or_default();
+        let tasks = match self.machines.remove(id) {
+            Some(mut m) => {
+                self.rooms.take(id, &mut m);
+                m.bound
+            }
+            None => BTreeSet::new(),
+        };
         self.blocks.clear();
         self.gone.insert(id.clone(), (now, self.version + 1));
         self.last_seen.remove(id);
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -136,6 +136,7 @@
             taken += 1;
         }
         self.dirty = true;
+        self.requeue = true;
         info!(
             "the books of term {term} are taken over: {taken} tasks, {} machines may hold others",
             book.unknown.len()
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -6,6 +6,7 @@
 pub mod health;
 mod machines;
 mod records;
+mod room;
 mod schedule;
 #[cfg(test)]
 mod tests;
@@ -27,7 +28,7 @@
 use gorseshore_protocol::job::{JobSpec, Kind, RANKS, Rank};
 use gorseshore_settings::{Objective, Operator, Team};
 use log::{debug, info, warn};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Where a machine is in its life.
@@ -81,6 +82,8 @@
     /// The update that first tells of its last change.
     stamp: u64,
     idle_since: Option<Micros>,
+    /// Its place among those with room.
+    placed: Option<room::Placed>,
     draining: Option<&'static str>,
     failed_jobs: BTreeSet<JobId>,
     failures: u32,
@@ -124,6 +127,7 @@
             warning: None,
             stamp: 0,
             idle_since: None,
+            placed: None,
             draining: None,
             failed_jobs: BTreeSet::new(),
             failures: 0,
@@ -159,6 +163,14 @@
             self.probed = None;
         }
     }
+    /// Tasks may be handed to it; `contact` says which controllers are heard.
+    fn open(&self, contact: &[bool], now: Micros) -> bool {
+        self.in_reach(contact) && self.heard.is_some_and(|t| now.since(t) < Micros::secs(4))
+    }
+    /// It is in use and its holder is heard.
+    fn in_reach(&self, contact: &[bool]) -> bool {
+        self.usable() && self.holder.is_some_and(|h| contact.get(h.0 as usize) == Some(&true))
+    }
     fn empty(&self) -> bool {
         self.tasks.is_empty() && self.reserved.is_empty()
     }
@@ -518,6 +530,13 @@
     health: Health,
     /// When the ways to the zones opened.
     ways: Ways,
+    /// Arrays of which more is done than was recorded when last looked at.
+    progressed: BTreeSet<JobId>,
+    /// Machines with room, in order.
+    rooms: room::Rooms,
+    /// Jobs that wait, in order; `requeue`: some began to wait since.
+    waiting: schedule::Waiting,
+    requeue: bool,
     /// Something changed: schedule.
     pub dirty: bool,
     fleet_at: Micros,
@@ -581,6 +600,10 @@
             refused: BTreeMap::new(),
             health: Health::default(),
             ways: Ways::default(),
+            progressed: BTreeSet::new(),
+            rooms: room::Rooms::default(),
+            waiting: schedule::Waiting::default(),
+            requeue: true,
             dirty: true,
             fleet_at: now,
             measured: now,
@@ -644,6 +667,7 @@
         if sums != kept {
             return Err(format!("bound tasks: {kept:?} kept, {sums:?} counted"));
         }
+        self.check_rooms()?;
         if handed != self.handed {
             return Err(format!("handed: {:?} kept, {handed:?} counted", self.handed));
         }
@@ -674,8 +698,12 @@
     pub fn job_changed(&mut self, id: JobId, ledger: &Ledger, now: Micros) {
         let Some(job) = ledger.jobs.get(&id) else { return };
         self.dirty = true;
+        self.requeue = true;
         match job.phase {
             Phase::Active => {
+                if !job.done.is_empty() {
+                    self.progressed.insert(id);
+                }
                 let Some(spec) = &job.spec else { return };
                 match self.jobs.get_mut(&id) {
                     None => {
@@ -711,6 +739,7 @@
         for id in free {
             self.held.remove(&id);
             self.dirty = true;
+            self.requeue = true;
             if let Some(run) = self.jobs.get_mut(&id) {
                 run.held = false;
             }
--- a/crates/core/src/leader/records.rs
+++ b/crates/core/src/leader/records.rs
@@ -8,7 +8,7 @@
     pub fn writes(&self, ledger: &Ledger, value_limit: usize, now: Micros) -> Vec<LeaderWrite> {
         let mut v = Vec::new();
         let active = |id: &JobId| ledger.jobs.get(id).is_some_and(|j| j.phase == Phase::Active);
-        for (id, r) in &self.jobs {
+        for (id, r) in self.progressed.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
             if r.spec.kind == Kind::Array && r.done.below(r.spec.tasks) >= r.spec.tasks && active(id) {
                 v.push(LeaderWrite::End(*id));
             }
@@ -39,7 +39,7 @@
                 v.push(LeaderWrite::Hire(name.clone()));
             }
         }
-        for (id, r) in &self.jobs {
+        for (id, r) in self.progressed.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
             if r.done.below(r.spec.tasks) < r.spec.tasks
                 && active(id)
                 && r.unrecorded_since.is_some_and(|t| now.since(t) > Micros::millis(1500))
@@ -164,17 +164,19 @@
         }
     }
 
-    /// Progress that came in while a record was being written.
+    /// Progress that came in while a record was being written. Jobs that are
+    /// over, and those whose progress is on record, are not looked at again
+    /// before more of them is done.
     pub fn note_unrecorded(&mut self, ledger: &Ledger, now: Micros) {
-        for (id, r) in self.jobs.iter_mut() {
-            if r.unrecorded_since.is_none()
-                && ledger
-                    .jobs
-                    .get(id)
-                    .is_some_and(|j| j.phase == Phase::Active && j.done.len() < r.done.len())
-            {
-                r.unrecorded_since = Some(now);
+        let jobs = &mut self.jobs;
+        self.progressed.retain(|id| {
+            let active = ledger.jobs.get(id).filter(|j| j.phase == Phase::Active);
+            let (Some(job), Some(r)) = (active, jobs.get_mut(id)) else { return false };
+            if job.done.len() < r.done.len() {
+                r.unrecorded_since.get_or_insert(now);
+                return true;
             }
-        }
+            r.done.below(r.spec.tasks) >= r.spec.tasks
+        });
     }
 }
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -13,57 +13,49 @@
     sum
 }
 
-/// The most room that any one machine of a kind has, by dimension: where that
-/// is not enough, no machine of the kind need be looked at.
+/// Jobs that have a task to start, by priority and team, in the order in which
+/// they are served, and the least that one of their tasks takes.
 #[derive(Debug, Default)]
-pub(super) struct Roomiest {
-    kinds: Vec<RoomiestKind>,
-    /// CPUs of ordinary machines by zone, in thousandths.
-    zone_cpu: BTreeMap<String, u64>,
+pub(super) struct Waiting {
+    ranks: BTreeMap<Rank, BTreeMap<String, Rc<[JobId]>>>,
+    least_cpu: BTreeMap<Rank, u64>,
+    made: Micros,
+    /// When a job may be tried again that is left out for now.
+    retry: Option<Micros>,
+    /// Machines may hold anything: what they hold up changes with every report.
+    unsure: bool,
 }
 
-#[derive(Debug)]
-struct RoomiestKind {
-    build: String,
-    zone: String,
-    spot: bool,
-    size: Resources,
-    free: Resources,
-}
+/// How long the order of waiting jobs is kept while nothing begins to wait.
+const ORDER_KEPT: Micros = Micros::millis(250);
 
-/// Jobs that have a task to start, by priority and team, in order.
-type Waiting = BTreeMap<Rank, BTreeMap<String, VecDeque<JobId>>>;
+/// Machines that one pass looks at to stop work on: a burst of replicas is
+/// served in several passes, so that none takes long.
+const LOOKED_AT: usize = 8_000;
 
-impl Roomiest {
-    fn add(&mut self, m: &Machine) {
-        let same = |k: &&mut RoomiestKind| (&k.build, &k.zone, k.spot) == (&m.build, &m.zone, m.spot);
-        let free = m.free();
-        match self.kinds.iter_mut().find(same) {
-            Some(k) => {
-                k.free.cpu = k.free.cpu.max(free.cpu);
-                k.free.gpu = k.free.gpu.max(free.gpu);
-                k.free.mem = k.free.mem.max(free.mem);
-            }
-            None => self.kinds.push(RoomiestKind {
-                build: m.build.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                size: m.size,
-                free,
-            }),
-        }
-    }
+/// What a pass has found out about room that lower work would leave.
+#[derive(Debug, Default)]
+pub(super) struct Lendable {
+    /// Machines with work that may be stopped, and the room if all of it went.
+    machines: Option<Vec<(MachineId, Resources)>>,
+    most: Resources,
+    looked: usize,
+}
 
-    /// Whether a machine with room for a task of the job may exist.
-    fn may_hold(&self, spec: &JobSpec, zones: &BTreeMap<String, u32>) -> bool {
-        self.kinds.iter().any(|k| {
-            k.free.fits(&spec.need)
-                && spec.allows(&k.build, &k.zone, k.spot, &k.size)
-                && fleet::zone_ok(spec, &k.zone, zones)
-        })
+impl Lendable {
+    /// Whether so much can be had anywhere by stopping work.
+    fn any(&self, need: &Resources) -> bool {
+        self.machines.is_none() || self.most.fits(need)
     }
 }
 
+/// What one pass keeps in mind.
+struct Pass {
+    guaranteed: bool,
+    lendable: Lendable,
+    now: Micros,
+}
+
 impl Leader {
     /// Adds up what the tasks take of machines on which they changed.
     pub(super) fn measure(&mut self) {
@@ -120,71 +112,6 @@
         zones
     }
 
-    /// A machine that tasks may be handed to.
-    fn open(&self, m: &Machine, now: Micros) -> bool {
-        m.usable()
-            && m.holder.is_some_and(|h| self.in_contact(h, now))
-            && m.heard.is_some_and(|t| now.since(t) < Micros::secs(4))
-    }
-
-    fn roomiest(&self, now: Micros) -> Roomiest {
-        let mut r = Roomiest::default();
-        for m in self.machines.values() {
-            if !m.spot && m.stage != Stage::Deleting {
-                match r.zone_cpu.get_mut(&m.zone) {
-                    Some(z) => *z += m.size.cpu,
-                    None => drop(r.zone_cpu.insert(m.zone.clone(), m.size.cpu)),
-                }
-            }
-            if self.open(m, now) {
-                r.add(m);
-            }
-        }
-        r
-    }
-
-    fn find(
-        &self,
-        run: &Run,
-        zones: &BTreeMap<String, u32>,
-        most: &Roomiest,
-        now: Micros,
-    ) -> Option<MachineId> {
-        if !most.may_hold(&run.spec, zones) {
-            return None;
-        }
-        let zone_cpu = |z: &str| match run.spec.kind {
-            Kind::Service => most.zone_cpu.get(z).copied().unwrap_or(0),
-            Kind::Array => 0,
-        };
-        self.machines
-            .iter()
-            .filter(|(_, m)| m.size.minus(m.used).fits(&run.spec.need) && self.open(m, now))
-            .filter(|(_, m)| m.kept_for.is_none_or(|(r, until)| run.spec.rank >= r || now >= until))
-            .filter(|(id, _)| {
-                // Whose attempts are bounded uses them up where there is room:
-                // waiting for another machine would only put off its end.
-                let again = run.proven || run.spec.attempts.is_some() || run.failed_on.len() > 3;
-                again || !run.failed_on.contains(id)
-            })
-            .filter(|(_, m)| fleet::zone_ok(&run.spec, &m.zone, zones))
-            .filter_map(|(id, m)| {
-                let c = Candidate {
-                    build: &m.build,
-                    zone: &m.zone,
-                    spot: m.spot,
-                    size: &m.size,
-                    free: m.free(),
-                    image: m.images.contains(&run.spec.image),
-                    zone_cpu: zone_cpu(&m.zone),
-                };
-                // A machine on which something failed comes last.
-                Some(((m.failures > 0, placement::score(&run.spec, &c, None)?), id))
-            })
-            .min()
-            .map(|(_, id)| id.clone())
-    }
-
     /// The time of day, as far as it can be told from the steady clock.
     pub(super) fn wall_ms(&self, now: Micros) -> u64 {
         self.began_ms + now.since(self.began).0 / 1000
@@ -194,19 +121,24 @@
     /// by priority, and within it by the smallest eligible start tag.
     pub(super) fn schedule(&mut self, now: Micros) {
         self.measure();
-        let waiting = self.waiting_jobs(now);
-        if waiting.is_empty() {
+        let kept = now.since(self.waiting.made) < ORDER_KEPT && !self.waiting.unsure;
+        if self.requeue || !kept || self.waiting.retry.is_some_and(|t| now >= t) {
+            self.requeue = false;
+            self.waiting = self.waiting_jobs(now);
+        }
+        // Who waits only for time is looked at again when it has passed.
+        self.dirty |= self.waiting.retry.is_some();
+        if self.waiting.ranks.is_empty() {
             return;
         }
-        let most = self.roomiest(now);
-        if self.ctx.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0) {
+        self.settle_rooms(now);
+        let borrowing = self.ctx.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0);
+        for guaranteed in [true, false].into_iter().filter(|g| borrowing || !g) {
+            let mut pass = Pass { guaranteed, lendable: Lendable::default(), now };
             for rank in RANKS {
-                self.serve_rank(rank, waiting.get(&rank), &most, true, now);
+                self.serve_rank(rank, &mut pass);
             }
         }
-        for rank in RANKS {
-            self.serve_rank(rank, waiting.get(&rank), &most, false, now);
-        }
     }
 
     /// Array tasks that are on machines or on their way.
@@ -218,22 +150,27 @@
     fn waiting_jobs(&mut self, now: Micros) -> Waiting {
         let wall_ms = self.wall_ms(now);
         let slots = self.array_slots();
-        let unknown = self.machines.values().any(|m| m.unknown);
-        let mut waiting: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
+        let mut waiting =
+            Waiting { made: now, unsure: self.machines.values().any(|m| m.unknown), ..Waiting::default() };
+        let mut ranks: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
         let mut ready: Vec<JobId> = Vec::new();
         for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over && !r.held) {
             if run.retry_at > now {
-                self.dirty = true;
+                let next = waiting.retry.map_or(run.retry_at, |t| t.min(run.retry_at));
+                waiting.retry = Some(next);
             } else if run.used_up().is_none() && run.peek().is_some() {
                 ready.push(*id);
             }
         }
         for id in ready {
             let Some(run) = self.jobs.get(&id) else { continue };
-            if unknown && self.blocked(run) {
+            if waiting.unsure && self.blocked(run) {
                 continue;
             }
-            let teams = waiting.entry(run.spec.rank).or_default();
+            let (rank, cpu) = (run.spec.rank, run.spec.need.cpu);
+            let least = waiting.least_cpu.entry(rank).or_insert(cpu);
+            *least = cpu.min(*least);
+            let teams = ranks.entry(rank).or_default();
             teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms, slots), id));
         }
         let sorted = |mut v: Vec<_>| {
@@ -243,58 +180,68 @@
         let by_team = |teams: BTreeMap<String, Vec<_>>| {
             teams.into_iter().map(|(t, v)| (t, sorted(v))).collect::<BTreeMap<_, _>>()
         };
-        waiting.into_iter().map(|(rank, teams)| (rank, by_team(teams))).collect()
+        waiting.ranks = ranks.into_iter().map(|(rank, teams)| (rank, by_team(teams))).collect();
+        waiting
     }
 
-    fn serve_rank(
-        &mut self,
-        rank: Rank,
-        waiting: Option<&BTreeMap<String, VecDeque<JobId>>>,
-        most: &Roomiest,
-        guaranteed: bool,
-        now: Micros,
-    ) {
-        let mut teams = waiting.cloned().unwrap_or_default();
+    fn serve_rank(&mut self, rank: Rank, pass: &mut Pass) {
+        let teams = self.waiting.ranks.get(&rank).cloned().unwrap_or_default();
+        let least = self.waiting.least_cpu.get(&rank).copied().unwrap_or(0);
         let mut queue = self.queues.remove(&rank).unwrap_or_default();
         let cost = self.ctx.operator.task_cost;
         for t in &self.ctx.teams {
             let w = self.ctx.operator.team_weights.get(&t.name).copied().unwrap_or(1.0);
             queue.set_waiting(&t.name, teams.contains_key(&t.name), cost, w);
         }
+        let mut next: BTreeMap<&str, usize> = BTreeMap::new();
         let mut stuck: BTreeSet<String> = BTreeSet::new();
-        while let Some((_, team)) = queue.order().into_iter().find(|(_, t)| !stuck.contains(t)) {
-            let Some(list) = teams.get_mut(&team) else { break };
+        let need = Resources { cpu: least, gpu: 0, mem: 0 };
+        let preempts = pass.guaranteed || rank == Rank::Production;
+        'rank: while let Some((_, team)) = queue.order().into_iter().find(|(_, t)| !stuck.contains(t)) {
+            let Some((team, list)) = teams.get_key_value(&team) else { break };
+            let at = next.entry(team).or_default();
             let mut served = false;
-            while let Some(id) = list.front().copied() {
-                if self.serve_job(id, most, guaranteed, now) {
+            while let Some(id) = list.get(*at).copied() {
+                if self.serve_job(id, pass) {
                     served = true;
                     break;
                 }
-                list.pop_front();
+                *at += 1;
+                // Where nothing has room for the least that waits, the rest of
+                // them need not be looked at.
+                if !(self.rooms.any(least) || preempts && pass.lendable.any(&need)) {
+                    break 'rank;
+                }
             }
             if served {
-                queue.serve(&team);
+                queue.serve(team);
             } else {
-                stuck.insert(team);
+                stuck.insert(team.clone());
             }
         }
         self.queues.insert(rank, queue);
     }
 
     /// Hands out one task of a job; false if none can be now.
-    fn serve_job(&mut self, id: JobId, most: &Roomiest, guaranteed: bool, now: Micros) -> bool {
-        let Some(index) = self.jobs.get_mut(&id).and_then(Run::peek) else { return false };
+    fn serve_job(&mut self, id: JobId, pass: &mut Pass) -> bool {
+        let now = pass.now;
+        let Some(run) = self.jobs.get_mut(&id).filter(|r| !r.over) else { return false };
+        let Some(index) = run.peek() else { return false };
+        let may_preempt = (pass.guaranteed || run.spec.rank == Rank::Production) && now >= run.room_until;
+        let need = run.spec.need;
+        if !(self.rooms.any(need.cpu) || may_preempt && pass.lendable.any(&need)) {
+            return false;
+        }
         let Some(run) = self.jobs.get(&id) else { return false };
-        if self.over_limit(&run.spec) || guaranteed && !self.within_guarantee(&run.spec) {
+        if self.over_limit(&run.spec) || pass.guaranteed && !self.within_guarantee(&run.spec) {
             return false;
         }
-        let may_preempt = (guaranteed || run.spec.rank == Rank::Production) && now >= run.room_until;
         let zones = self.zones_of(run);
-        match self.find(run, &zones, most, now) {
+        match self.find(run, &zones, now) {
             Some(machine) if self.better_with_image(id, &machine, now) => {
                 // Batch work that holds the room where the image is gives way:
                 // a fetch takes seconds.
-                let made = may_preempt && self.make_room(id, &zones, true, guaranteed, now).is_some();
+                let made = may_preempt && self.make_room(id, &zones, true, pass).is_some();
                 if let Some(run) = self.jobs.get_mut(&id) {
                     run.patience.get_or_insert(if made { now + Micros::millis(700) } else { now });
                 }
@@ -305,14 +252,16 @@
                 self.hand_out(TaskId { job: id, index }, machine);
                 true
             }
+            None if may_preempt && pass.lendable.looked >= LOOKED_AT => {
+                self.dirty = true;
+                false
+            }
             None if may_preempt => {
                 // Room for all that waits at once; what was stopped needs a
                 // moment to go, and stopping more meanwhile would be waste.
                 let (mut zones, mut left) = (zones, run.waiting());
                 while left > 0 {
-                    let Some((zone, room)) = self.make_room(id, &zones, false, guaranteed, now) else {
-                        break;
-                    };
+                    let Some((zone, room)) = self.make_room(id, &zones, false, pass) else { break };
                     *zones.entry(zone).or_default() += room.min(left);
                     left -= room.min(left);
                 }
@@ -379,6 +328,7 @@
             m.reserved.insert(attempt, need);
             m.images.insert(run.spec.image.clone());
             m.idle_since = None;
+            self.rooms.put(&hint, m, true);
         }
         let at = self.books.hand_out(task);
         self.handouts.insert(attempt, (node, out, at));
@@ -406,16 +356,23 @@
         id: JobId,
         zones: &BTreeMap<String, u32>,
         image: bool,
-        guaranteed: bool,
-        now: Micros,
+        pass: &mut Pass,
     ) -> Option<(String, u32)> {
+        let (guaranteed, now) = (pass.guaranteed, pass.now);
         let spec = self.jobs.get(&id)?.spec.clone();
+        if pass.lendable.machines.is_none() {
+            pass.lendable = self.lendable(guaranteed, now);
+        }
+        let Lendable { machines: Some(lent), most, looked } = &mut pass.lendable else { return None };
+        if !most.fits(&spec.need) {
+            return None;
+        }
         let borrowed = if guaranteed { self.borrowed() } else { BTreeMap::new() };
         let mut best: Option<(u64, MachineId, Vec<(TaskId, Attempt)>, u32)> = None;
-        for (mid, m) in &self.machines {
-            if !m.usable()
-                || image && !m.images.contains(&spec.image)
-                || !m.holder.is_some_and(|h| self.in_contact(h, now))
+        for (mid, _) in lent.iter().filter(|(_, room)| room.fits(&spec.need)) {
+            *looked += 1;
+            let Some(m) = self.machines.get(mid) else { continue };
+            if image && !m.images.contains(&spec.image)
                 || !spec.allows(&m.build, &m.zone, m.spot, &m.size)
                 || !fleet::zone_ok(&spec, &m.zone, zones)
                 || m.kept_for.is_some_and(|(_, until)| now < until)
@@ -470,6 +427,34 @@
         Some((m.zone.clone(), room.min(spec.zone_cap().saturating_sub(here)).max(1)))
     }
 
+    /// Machines with work that replicas, or a team within its guarantee, may
+    /// have stopped, and the most room that this would leave.
+    fn lendable(&self, guaranteed: bool, now: Micros) -> Lendable {
+        let contact: Vec<bool> =
+            (0..self.nodes.len()).map(|i| self.in_contact(NodeId(i as u8), now)).collect();
+        let mut l = Lendable::default();
+        let mut machines = Vec::new();
+        for (id, m) in self.machines.iter().filter(|(_, m)| m.in_reach(&contact)) {
+            let mut room = m.free();
+            let mut some = false;
+            for (t, _) in m.tasks.iter().filter(|(_, (_, s))| *s != TaskState::Starting) {
+                let Some(r) = self.jobs.get(&t.job) else { continue };
+                if guaranteed || r.spec.rank < Rank::Production {
+                    room = room.plus(r.spec.need);
+                    some = true;
+                }
+            }
+            if some {
+                l.most.cpu = l.most.cpu.max(room.cpu);
+                l.most.gpu = l.most.gpu.max(room.gpu);
+                l.most.mem = l.most.mem.max(room.mem);
+                machines.push((id.clone(), room));
+            }
+        }
+        l.machines = Some(machines);
+        l
+    }
+
     pub(super) fn stop(
         &mut self,
         task: TaskId,
