A process that is back at once: numbers that rise, addresses still held, reading that goes on

Need: a process that ends may be started again within a fraction of a second. Its number was the time of day at its start; on a clock that differs by the stated bound the later process could have the lower one, and the leader took its word for its earlier life's, held up on the way: it was out of service until it was restarted. Change: a process takes its number after twice the clocks' bound and 2 ms (peer::before_number has the argument); an address still held by the earlier process is waited for up to 10 s; a reading of the state that was interrupted goes on at its page, 1,000 keys a page; the world's clock no longer drops an event at the end of a run.

Also here, as it shares files: who may keep a connection is a state machine of its own (shell/admission.rs). Now sockets are divided by the settings; workers come first, then the probe, submissions and polls; what can't be kept is answered and closed, and the idlest makes room. Calls to workers are bounded.

--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -269,8 +269,8 @@
     fn the_machine_found_is_the_one_that_a_look_at_all_finds() {
         let mut rng = fastrand::Rng::with_seed(7);
         let (zones, images) = (["a", "b", "c"], ["i", "j", "k", "l"]);
-        let mut rooms = Rooms::default();
-        rooms.zone_cpu = BTreeMap::from([("a".into(), 9), ("b".into(), 5), ("c".into(), 7)]);
+        let zone_cpu = BTreeMap::from([("a".into(), 9), ("b".into(), 5), ("c".into(), 7)]);
+        let mut rooms = Rooms { zone_cpu, ..Rooms::default() };
         let mut machines: BTreeMap<MachineId, Machine> = BTreeMap::new();
         for i in 0..60 {
             let cpus = [4.0, 8.0, 64.0][rng.usize(0..3)];
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -50,9 +50,12 @@
     pub(super) fn follow(&mut self) {
         if !self.mirror.listed {
             if !self.mirror.listing && self.now >= self.mirror.retry_list_at {
-                let mut ledger = Box::<Ledger>::default();
-                ledger.aside = self.has_guest.then(Vec::new);
-                self.list(None, None, ledger);
+                let (from, first, ledger) = self.mirror.so_far.take().unwrap_or_else(|| {
+                    let mut ledger = Box::<Ledger>::default();
+                    ledger.aside = self.has_guest.then(Vec::new);
+                    (None, None, ledger)
+                });
+                self.list(from, first, ledger);
             }
             return;
         }
@@ -67,7 +70,7 @@
 
     pub(super) fn list(&mut self, from: Option<String>, first: Option<u64>, ledger: Box<Ledger>) {
         self.mirror.listing = true;
-        let mut path = format!("/store?prefix={}&limit=500", keys::ROOT);
+        let mut path = format!("/store?prefix={}&limit=1000", keys::ROOT);
         if let Some(f) = &from {
             path.push_str("&from=");
             path.push_str(f);
--- a/crates/core/src/node/mirror.rs
+++ b/crates/core/src/node/mirror.rs
@@ -17,6 +17,9 @@
     /// The next watch is opened no earlier.
     pub follow_at: Micros,
     pub retry_list_at: Micros,
+    /// A listing that was interrupted: after which key it goes on, the revision
+    /// of its first page, and what was read.
+    pub so_far: Option<(Option<String>, Option<u64>, Box<Ledger>)>,
     /// The service's last good and last bad answers.
     pub ok_at: Option<Micros>,
     pub fail_at: Option<Micros>,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -215,6 +215,17 @@
         std::mem::take(&mut self.out.items)
     }
 
+    /// Whether this node leads, and may say so.
+    pub fn leads(&self) -> bool {
+        self.leadership.leader.is_some() && self.leadership.election.may_lead(self.now)
+    }
+
+    /// Whether this node is ready for users and holds a block that it may start
+    /// tasks on.
+    pub fn in_service(&self) -> bool {
+        self.ready() && self.ctl.lease_valid(self.now)
+    }
+
     /// Whether what this node keeps as things change agrees with a fresh
     /// count: for tests.
     pub fn check_kept(&self) -> Result<(), String> {
@@ -376,10 +387,13 @@
             _ => None,
         };
         let Some(page) = page else {
-            let pause = Micros::millis(300 + self.rng.u64(0..300));
+            // Many that start at once share the state service's budget: what was
+            // read is kept, and goes on after a pause.
+            let pause = Micros::millis(150 + self.rng.u64(0..300));
             self.mirror.retry_list_at = self.now + pause;
             if from.is_some() {
                 debug!("reading the state was interrupted");
+                self.mirror.so_far = Some((from, first, ledger));
             }
             return;
         };
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -307,6 +307,23 @@
     Ok(borsh::from_slice(body)?)
 }
 
+/// How long a process waits after its start before it takes its number, where
+/// the times of day of two processes of one controller differ from true time by
+/// up to `clock_off` each.
+///
+/// An earlier process took its own no later than its end, on a clock that was at
+/// most `clock_off` ahead; this one starts after that end and takes its number on
+/// one that is at most `clock_off` behind. After twice as long, and a little, the
+/// later number is the higher one, however quickly the process came back.
+pub fn before_number(clock_off: Micros) -> Micros {
+    clock_off.scale(2, 1) + Micros::millis(2)
+}
+
+/// A process's number: later processes of a controller have higher ones.
+pub fn process_number(wall_ms: u64, salt: u64) -> u64 {
+    (wall_ms << 8) | (salt & 0xff)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -140,6 +140,12 @@
     /// Own machine.
     #[serde(default)]
     pub machine_limits: Limits,
+    /// How far a time of day may be from true time, in milliseconds.
+    #[serde(default = "default_clock_off")]
+    pub clock_off_ms: f64,
+}
+fn default_clock_off() -> f64 {
+    25.0
 }
 
 /// The whole file. Unknown fields are ignored.
@@ -197,6 +203,9 @@
         if !(d.cloud.list_lag_s.is_finite() && d.cloud.list_lag_s >= 0.0) {
             faults.push(format!("deployment.cloud.list_lag_s: {} must not be negative", d.cloud.list_lag_s));
         }
+        if !(0.0..=10_000.0).contains(&d.clock_off_ms) {
+            faults.push(format!("deployment.clock_off_ms: {} must be from 0 to 10000", d.clock_off_ms));
+        }
         if d.state.txn_ops < 2 {
             faults.push("deployment.state.txn_ops: must be at least 2".into());
         }
--- a/crates/shell/src/client.rs
+++ b/crates/shell/src/client.rs
@@ -1,33 +1,53 @@
 //! Calls to the state service, the cloud and the workers.
+use super::admission::Bounds;
 use super::http::{self, BodyEnd};
 use super::server::within;
 use gorseshore_core::{Call, CallResult, Target};
 use smol::future;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::lock::Semaphore;
 use smol::net::TcpStream;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Open connections kept to one address.
 const KEPT: usize = 8;
-/// Addresses with kept connections.
-const ADDRESSES: usize = 300;
 /// A connection that nobody used for so long is not used again.
 const STALE: Duration = Duration::from_secs(20);
+/// Such connections are looked for no more often than this.
+const SWEEP: Duration = Duration::from_secs(2);
 
-/// Keeps connections.
+/// Keeps connections. Those with workers, who are many, are bounded: so many
+/// calls at a time, and so many connections kept for the next one.
 pub struct Client {
     state: String,
     cloud: String,
     idle: RefCell<HashMap<String, Vec<(TcpStream, Instant)>>>,
+    /// Connections kept with workers, and when stale ones were looked for.
+    kept: Cell<usize>,
+    most_kept: usize,
+    swept: Cell<Instant>,
+    calls: Semaphore,
 }
 
 impl Client {
     /// A client of these services.
-    pub fn new(state: &str, cloud: &str) -> Self {
-        Client { state: state.into(), cloud: cloud.into(), idle: RefCell::default() }
+    pub fn new(state: &str, cloud: &str, bounds: &Bounds) -> Self {
+        Client {
+            state: state.into(),
+            cloud: cloud.into(),
+            idle: RefCell::default(),
+            kept: Cell::new(0),
+            most_kept: bounds.kept,
+            swept: Cell::new(Instant::now()),
+            calls: Semaphore::new(bounds.calls),
+        }
+    }
+
+    fn is_worker(&self, addr: &str) -> bool {
+        addr != self.state && addr != self.cloud
     }
 
     /// Makes a call. `NotSent` only if nothing of it left this process.
@@ -39,6 +59,16 @@
         };
         let limit = Duration::from_micros(call.timeout.0);
         let began = Instant::now();
+        // A call that waits its turn for too long was not sent.
+        let _turn = match call.target {
+            Target::Worker(_) => match within(limit, self.calls.acquire()).await {
+                Some(turn) => Some(turn),
+                None => return CallResult::NotSent,
+            },
+            _ => None,
+        };
+        let limit = limit.saturating_sub(began.elapsed());
+        let began = Instant::now();
         let stream = match self.kept(addr).await {
             Some(s) => s,
             None => {
@@ -67,7 +97,18 @@
     /// A kept connection that the other side has not closed.
     async fn kept(&self, addr: &str) -> Option<TcpStream> {
         loop {
-            let (stream, since) = self.idle.borrow_mut().get_mut(addr)?.pop()?;
+            let (stream, since) = {
+                let mut idle = self.idle.borrow_mut();
+                let list = idle.get_mut(addr)?;
+                let next = list.pop();
+                if list.is_empty() {
+                    idle.remove(addr);
+                }
+                next?
+            };
+            if self.is_worker(addr) {
+                self.kept.set(self.kept.get().saturating_sub(1));
+            }
             let mut b = [0u8; 1];
             let silent = future::poll_once(stream.peek(&mut b)).await.is_none();
             if silent && since.elapsed() < STALE {
@@ -78,12 +119,25 @@
 
     fn keep(&self, addr: &str, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() >= ADDRESSES && !idle.contains_key(addr) {
-            idle.retain(|_, v| v.iter().any(|(_, t)| t.elapsed() < STALE));
+        if self.is_worker(addr) {
+            if self.kept.get() >= self.most_kept && self.swept.get().elapsed() >= SWEEP {
+                self.swept.set(Instant::now());
+                idle.retain(|_, v| {
+                    v.retain(|(_, t)| t.elapsed() < STALE);
+                    !v.is_empty()
+                });
+                self.kept.set(idle.iter().filter(|(a, _)| self.is_worker(a)).map(|(_, v)| v.len()).sum());
+            }
+            if self.kept.get() >= self.most_kept {
+                return;
+            }
+            self.kept.set(self.kept.get() + 1);
         }
         let list = idle.entry(addr.to_owned()).or_default();
         if list.len() < KEPT {
             list.push((stream, Instant::now()));
+        } else if self.is_worker(addr) {
+            self.kept.set(self.kept.get() - 1);
         }
     }
 }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -1,14 +1,16 @@
 //! Sockets and timers round the core.
 #![warn(missing_docs)]
+pub mod admission;
 pub mod client;
 pub mod http;
 pub mod logger;
 pub mod peers;
 pub mod server;
 
+use admission::Bounds;
 use gorseshore_core::guest::{Answer, Guest};
 use gorseshore_core::node::{Node, Nodes};
-use gorseshore_core::peer::{Envelope, Message};
+use gorseshore_core::peer::{Envelope, Message, before_number, process_number};
 use gorseshore_core::{CallResult, Input, Output, RequestId};
 use gorseshore_protocol::ids::{Micros, NodeId};
 use gorseshore_settings::{Operator, Platform};
@@ -17,6 +19,7 @@
 use smol::{Async, LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -163,13 +166,31 @@
 /// Binds the settings' addresses and runs the service until the process is killed.
 pub fn run(platform: Platform, operator: Operator, guest: Option<GuestDoor>) -> std::io::Result<()> {
     let sockets = Sockets {
-        public: TcpListener::bind(&platform.public_addr)?,
-        cluster: TcpListener::bind(&platform.cluster_listen)?,
-        guest: guest.as_ref().map(|g| TcpListener::bind(g.listen)).transpose()?,
+        public: bind(&platform.public_addr)?,
+        cluster: bind(&platform.cluster_listen)?,
+        guest: guest.as_ref().map(|g| bind(&g.listen.to_string())).transpose()?,
     };
     run_on(sockets, platform, operator, guest.map(|g| g.guest))
 }
 
+/// An earlier process of this controller may still hold its address while it
+/// ends; it is waited for so long.
+const ADDRESS_IN_USE: Duration = Duration::from_secs(10);
+
+/// Binds an address.
+fn bind(addr: &str) -> std::io::Result<TcpListener> {
+    let began = Instant::now();
+    loop {
+        match TcpListener::bind(addr) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && began.elapsed() < ADDRESS_IN_USE => {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            Err(e) => return Err(std::io::Error::new(e.kind(), format!("{addr}: {e}"))),
+            Ok(listener) => return Ok(listener),
+        }
+    }
+}
+
 /// Runs the service on sockets that are bound already.
 pub fn run_on(
     bound: Sockets,
@@ -183,14 +204,16 @@
         let nodes = Nodes::new(&platform);
         let started = Instant::now();
         let seed = fastrand::u64(..) >> 1;
-        // Later processes have higher numbers, as far as the clock goes.
+        let clock_off = Micros::from_secs_f64(platform.deployment.clock_off_ms / 1000.0);
+        Timer::after(Duration::from_micros(before_number(clock_off).0)).await;
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        let incarnation = (wall << 8) | (seed & 0xff);
+        let incarnation = process_number(wall, seed);
         let mut node = Node::new(&platform, operator, seed, incarnation, Micros(1_000_000));
         if let Some(guest) = guest {
             node = node.with_guest(guest);
         }
         let sockets = platform.deployment.machine_limits.sockets;
+        let bounds = Bounds::new(sockets, nodes.names.len() - 1, bound.guest.is_some());
         let mut receivers = Vec::new();
         let peers = nodes
             .names
@@ -208,7 +231,7 @@
             waiting: RefCell::default(),
             next_request: Cell::new(1),
             executor: executor.clone(),
-            client: client::Client::new(&platform.endpoints.state, &platform.endpoints.cloud),
+            client: client::Client::new(&platform.endpoints.state, &platform.endpoints.cloud, &bounds),
             peers,
             incarnation,
             me: nodes.me,
@@ -221,17 +244,15 @@
         let (cluster, public) = (door(bound.cluster)?, door(bound.public)?);
         info!("{} listens on {} and {}", platform.host_name, platform.public_addr, platform.cluster_listen);
         executor.spawn(peers::listen(shell.clone(), cluster, executor.clone(), nodes.names.len())).detach();
-        // The guest's connections are kept below the users'.
-        let most = if bound.guest.is_some() { sockets / 2 } else { sockets * 7 / 10 };
         executor
-            .spawn(server::listen(shell.clone(), public, executor.clone(), server::Door::Users, most))
+            .spawn(server::listen(shell.clone(), public, executor.clone(), server::Door::Users, bounds))
             .detach();
         if let Some(listener) = bound.guest {
             info!("the guest's interface listens on {}", listener.local_addr()?);
             let door = door(listener)?;
-            let most = sockets / 5;
+            let bounds = bounds.of_guest();
             executor
-                .spawn(server::listen(shell.clone(), door, executor.clone(), server::Door::Guest, most))
+                .spawn(server::listen(shell.clone(), door, executor.clone(), server::Door::Guest, bounds))
                 .detach();
         }
         loop {
--- a/crates/shell/src/server.rs
+++ b/crates/shell/src/server.rs
@@ -1,14 +1,17 @@
-//! Connections of users and workers.
+//! Connections of users and workers; who may keep one is decided in
+//! [`super::admission`].
+use super::admission::{Admission, Bounds, ConnId, Manner, Who};
 use super::http;
 use super::{Reply, Shell};
 use gorseshore_protocol::users;
-use log::warn;
-use smol::channel::Receiver;
+use log::{info, warn};
+use smol::channel::{Receiver, Sender, bounded};
 use smol::future::{self, FutureExt};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,8 +19,10 @@
 const IDLE: Duration = Duration::from_secs(90);
 /// A request must be there whole within this.
 const SLOW: Duration = Duration::from_secs(5);
-/// The same when connections run short.
-const IDLE_WHEN_CROWDED: Duration = Duration::from_secs(6);
+/// Who is refused for want of a connection may come back after this, in seconds.
+const COME_BACK: u32 = 2;
+/// That connections run short is logged no more often than this.
+const TOLD_EVERY: Duration = Duration::from_secs(10);
 
 /// Waits for `f` no longer than `limit`.
 pub async fn within<T>(limit: Duration, f: impl Future<Output = T>) -> Option<T> {
@@ -48,27 +53,64 @@
     }
 }
 
-/// Takes connections, at most `most`; the other sockets are for calls and peers.
+/// The connections of one address.
+struct Entry {
+    admission: Admission,
+    /// Tells a connection that it is let go.
+    let_go: HashMap<ConnId, Sender<()>>,
+    told: Option<std::time::Instant>,
+}
+
+impl Entry {
+    fn let_go(&self, id: Option<ConnId>) {
+        if let Some(tx) = id.and_then(|id| self.let_go.get(&id)) {
+            let _ = tx.try_send(());
+        }
+    }
+
+    /// Says that connections run short, now and then.
+    fn tell(&mut self) {
+        let (open, most) = self.admission.load();
+        if open > most && self.told.is_none_or(|t| t.elapsed() >= TOLD_EVERY) {
+            self.told = Some(std::time::Instant::now());
+            let away = self.admission.turned_away();
+            info!("{open} of {most} connections are open: {away} let go or turned away so far");
+        }
+    }
+}
+
+/// Takes connections, as many as `bounds` say.
 pub async fn listen(
     shell: Rc<Shell>,
     listener: TcpListener,
     ex: Rc<LocalExecutor<'static>>,
     door: Door,
-    most: usize,
+    bounds: Bounds,
 ) {
-    let open = Rc::new(Cell::new(0usize));
+    let entry = Rc::new(RefCell::new(Entry {
+        admission: Admission::new(bounds),
+        let_go: HashMap::new(),
+        told: None,
+    }));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if open.get() >= most {
-                    drop(stream);
-                    continue;
-                }
-                open.set(open.get() + 1);
-                let (shell, open) = (shell.clone(), open.clone());
+                let (tx, rx) = bounded(1);
+                let id = {
+                    let mut e = entry.borrow_mut();
+                    let (id, gone) = e.admission.opened(shell.now());
+                    e.let_go(gone);
+                    e.tell();
+                    let Some(id) = id else { continue };
+                    e.let_go.insert(id, tx);
+                    id
+                };
+                let (shell, entry) = (shell.clone(), entry.clone());
                 ex.spawn(async move {
-                    serve(&shell, stream, door, &open, most).await;
-                    open.set(open.get() - 1);
+                    serve(&shell, stream, door, id, &entry, rx).await;
+                    let mut e = entry.borrow_mut();
+                    e.admission.closed(id);
+                    e.let_go.remove(&id);
                 })
                 .detach();
             }
@@ -80,13 +122,26 @@
     }
 }
 
-async fn serve(shell: &Rc<Shell>, mut stream: TcpStream, door: Door, open: &Cell<usize>, most: usize) {
+async fn serve(
+    shell: &Rc<Shell>,
+    mut stream: TcpStream,
+    door: Door,
+    conn: ConnId,
+    entry: &RefCell<Entry>,
+    let_go: Receiver<()>,
+) {
     let _ = stream.set_nodelay(true);
     let mut buf: Vec<u8> = Vec::new();
     loop {
-        let idle = if open.get() * 4 > most * 3 { IDLE_WHEN_CROWDED } else { IDLE };
-        if buf.is_empty() && !matches!(within(idle, more(&mut stream, &mut buf)).await, Some(true)) {
-            return;
+        if buf.is_empty() {
+            let next = async { within(IDLE, more(&mut stream, &mut buf)).await == Some(true) };
+            let gone = async {
+                let _ = let_go.recv().await;
+                false
+            };
+            if !next.or(gone).await {
+                return;
+            }
         }
         let read = within(SLOW, read_request(&mut stream, &mut buf, door)).await;
         let (head, body) = match read {
@@ -116,7 +171,20 @@
                 return;
             }
         };
-        let keep = head.keep;
+        let who = Who::of(&head.method, &head.path);
+        let manner = {
+            let mut e = entry.borrow_mut();
+            let (manner, gone) = e.admission.asks(conn, who, shell.now());
+            e.let_go(gone);
+            manner
+        };
+        if manner == Manner::Refuse {
+            let error = users::error("too many connections");
+            let a = http::answer(503, &error, Some(COME_BACK), false);
+            let _ = within(SLOW, stream.write_all(&a)).await;
+            return;
+        }
+        let keep = head.keep && manner == Manner::Keep;
         let (id, reply) = shell.request(door, head, body);
         // A requester that goes away meanwhile is noticed.
         let mut probe = [0u8; 1];
@@ -134,6 +202,7 @@
                 if !matches!(within(SLOW, stream.write_all(&bytes)).await, Some(Ok(()))) || !keep {
                     return;
                 }
+                entry.borrow_mut().admission.idle(conn, shell.now());
             }
             Some(Reply::Head(a)) => {
                 let first = http::chunked_head(a.status, &a.headers);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! A seeded world in memory: some nodes, stand-ins for the outside systems,
 //! a network that loses, delays, repeats and holds back, and troubles. Every
 //! rule of the protocol is checked at each step.
+mod blink;
 mod desk;
 mod fleet;
 mod nomad;
@@ -56,6 +57,8 @@
     planners: bool,
     /// Troubles at set times, at fleet size, instead of any at any time.
     fleet: bool,
+    /// Controllers end at every stage and are back at once, on other clocks.
+    blinks: bool,
 }
 
 const SMALL: Size = Size {
@@ -74,6 +77,7 @@
     ends: 300 * S,
     planners: false,
     fleet: false,
+    blinks: false,
 };
 /// The small world with planners, and values so short that their jobs take
 /// several parts.
@@ -187,7 +191,7 @@
 
 #[derive(Debug)]
 enum Event {
-    Tick(usize),
+    Tick(usize, u64),
     Restart(usize),
     /// A call reaches its target.
     Arrive(usize, u64, CallId, Call),
@@ -201,6 +205,7 @@
     Workers,
     Users,
     Trouble,
+    Crash(usize),
     Heal,
 }
 
@@ -258,6 +263,7 @@
     quiet: bool,
     planners: nomad::Planners,
     fleet: fleet::Seen,
+    blink: blink::Seen,
 }
 
 impl World {
@@ -295,6 +301,7 @@
             quiet,
             planners: nomad::Planners::default(),
             fleet: fleet::Seen::default(),
+            blink: blink::Seen::new(size.nodes),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -350,7 +357,8 @@
     fn feed(&mut self, n: usize, input: Input) {
         let now = self.now;
         let Some(node) = self.nodes[n].as_mut() else { return };
-        let outputs = node.handle(Micros(now), WALL_MS + now / 1000, input);
+        let wall_ms = WALL_MS + now / 1000 + self.blink.ahead_ms[n];
+        let outputs = node.handle(Micros(now), wall_ms, input);
         let me = self.incarnations[n];
         for o in outputs {
             match o {
@@ -926,7 +934,7 @@
     fn crash(&mut self, n: usize) {
         if self.nodes[n].take().is_some() {
             self.watches.retain(|w| w.node != n);
-            let back = self.rng.u64(2 * S..6 * S);
+            let back = if self.size.blinks { self.back_at_once(n) } else { self.rng.u64(2 * S..6 * S) };
             self.at(back, Event::Restart(n));
         }
     }
@@ -956,10 +964,11 @@
 
     fn run(&mut self, until: u64) {
         let mut last_history = 0;
-        while let Some(Reverse((t, key))) = self.queue.pop() {
+        while let Some(Reverse((t, key))) = self.queue.peek().copied() {
             if t > until || !self.broken.is_empty() {
                 break;
             }
+            self.queue.pop();
             self.now = t;
             let Some(e) = self.events.remove(&key) else { continue };
             self.step(e);
@@ -999,23 +1008,27 @@
     fn step(&mut self, e: Event) {
         let now = self.now;
         match e {
-            Event::Tick(n) => {
-                if self.nodes[n].is_some() {
+            Event::Tick(n, me) => {
+                if self.nodes[n].is_some() && self.incarnations[n] == me {
                     self.feed(n, Input::Tick);
-                    self.at(20 * MS, Event::Tick(n));
+                    self.at(20 * MS, Event::Tick(n, me));
+                    if self.size.blinks {
+                        self.look_at(n);
+                    }
                 }
                 self.watches();
             }
             Event::Restart(n) => {
                 let seed = self.rng.u64(..) >> 1;
+                let number = if self.size.blinks { self.process_number(n, seed) } else { now };
                 let mut node =
-                    Node::new(&platform(n, &self.size), Operator::default(), seed, now, Micros(now));
+                    Node::new(&platform(n, &self.size), Operator::default(), seed, number, Micros(now));
                 if self.size.planners {
                     node = nomad::guest(node, seed);
                 }
                 self.incarnations[n] = node.incarnation();
                 self.nodes[n] = Some(node);
-                self.at(0, Event::Tick(n));
+                self.at(0, Event::Tick(n, self.incarnations[n]));
             }
             Event::Arrive(n, me, id, call) => {
                 if std::env::var("WORLD_TRACE").is_ok() && !call.path.starts_with("/follow") {
@@ -1058,6 +1071,8 @@
                 self.at(300 * MS, Event::Users);
             }
             Event::Trouble if self.size.fleet => self.fleet_trouble(),
+            Event::Trouble if self.size.blinks => self.blink_trouble(),
+            Event::Crash(n) => self.crash(n),
             Event::Trouble => self.trouble(),
             Event::Heal => self.state.recover(now),
         }
