--- a/tests/smoke.rs
+++ b/tests/smoke.rs
@@ -99,6 +99,66 @@
     let _ = std::fs::remove_file(file);
 }
 
+/// The real program ends and is started again at once, ten times and more; a
+/// user's retry meets the new process, and one that starts while the last one
+/// still holds the address waits for it.
+#[test]
+fn a_program_that_is_back_at_once_loses_nothing() {
+    let site = Site::start(&Options { controllers: 0, ..Options::default() }).unwrap();
+    let (public, cluster) = (free_address().unwrap(), free_address().unwrap());
+    site.report_to(&[public]);
+    let text = settings(public, cluster, site.cloud, site.state);
+    let file = std::env::temp_dir().join(format!("gorseshore-blink-{}.toml", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let path = file.to_str().unwrap().to_owned();
+    let run = || Running(program(&["--config", &path]).stderr(Stdio::null()).spawn().unwrap());
+    let ready = || call(public, "GET", "/ready", "").is_some_and(|r| r.0 == 200);
+    let job = |n: usize, kind: &str| {
+        json!({"ref": format!("j-{n:06}"), "lot": "l", "crew": "t", "manner": kind, "rank": "standard",
+            "pieces": 2, "cpus": 1, "gpus": 0, "memory_gb": 1, "bundle": "i", "image_gb": 0.1,
+            "same_place": false, "apart": false, "loaners": false, "guess_s": 1, "mark_s": 0, "stow_s": 0})
+        .to_string()
+    };
+    let mut node = run();
+    until("ready", ready);
+    until("accepted", || {
+        call(public, "POST", "/submissions", &job(1, "standing")).is_some_and(|r| r.0 == 201)
+    });
+    let replicas = || site.running().iter().filter(|t| t.starts_with("j-000001/")).count();
+    until("replicas run", || replicas() == 2);
+    for (i, away) in [0, 20, 100, 300].into_iter().cycle().take(12).enumerate() {
+        // In the middle of things: what is sent just before may or may not count.
+        let n = 10 + i;
+        let asked = std::thread::spawn(move || call(public, "POST", "/submissions", &job(n, "array")));
+        drop(node);
+        let _ = asked.join();
+        std::thread::sleep(Duration::from_millis(away));
+        let began = Instant::now();
+        node = run();
+        until("a retry is accepted", || {
+            call(public, "POST", "/submissions", &job(n, "array")).is_some_and(|r| r.0 == 201 || r.0 == 200)
+        });
+        println!(
+            "away for {away} ms: a retry was accepted {} ms after the start",
+            began.elapsed().as_millis()
+        );
+        assert_eq!(replicas(), 2, "replicas went on");
+    }
+    // The next process is there before this one has ended.
+    let next = run();
+    std::thread::sleep(Duration::from_millis(200));
+    drop(node);
+    until("the next one is ready", ready);
+    for n in 10..22 {
+        let stage =
+            || call(public, "GET", &format!("/submissions/j-{n:06}"), "").map(|r| r.1["stage"].clone());
+        until("every job is done", || stage() == Some(json!("done")));
+    }
+    assert_eq!(replicas(), 2);
+    drop(next);
+    let _ = std::fs::remove_file(file);
+}
+
 #[test]
 fn settings_are_checked() {
     let a: SocketAddr = "127.0.0.1:9".parse().unwrap();
