--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -39,11 +39,19 @@
     #[arg(long, value_delimiter = ',', default_value = "1000,10000,100000",
         value_parser = clap::value_parser!(u32).range(1..=2_000_000))]
     past: Vec<u32>,
+    /// Numbers of jobs that wait and find no room.
+    #[arg(long, value_delimiter = ',', default_values_t = [100, 1000, 10_000], value_parser = clap::value_parser!(u32).range(1..=100_000))]
+    waiting: Vec<u32>,
 }
 
 fn scale(a: &ScaleArgs) -> ExitCode {
     let all = |v: &[u32]| v.iter().map(|n| *n as usize).collect();
-    let sizing = Sizing { machines: all(&a.machines), controllers: all(&a.controllers), past: all(&a.past) };
+    let sizing = Sizing {
+        machines: all(&a.machines),
+        controllers: all(&a.controllers),
+        past: all(&a.past),
+        waiting: all(&a.waiting),
+    };
     match gorseshore_standins::scale::run(&sizing) {
         Ok(table) => {
             print!("{table}");
--- a/crates/standins/src/scale.rs
+++ b/crates/standins/src/scale.rs
@@ -25,6 +25,8 @@
     pub controllers: Vec<usize>,
     /// Numbers of past jobs.
     pub past: Vec<usize>,
+    /// Numbers of jobs that wait and find no room.
+    pub waiting: Vec<usize>,
 }
 
 /// What went wrong.
@@ -310,6 +312,50 @@
     }
 }
 
+/// Milliseconds of work a second of a leader of a full fleet while so many jobs
+/// of ten tasks wait, a tenth of them of the highest priority: its passes, and
+/// its rental decisions while nothing can be had.
+fn backlog(waiting: usize, machines: usize) -> Result<(f64, f64), ScaleError> {
+    let mut b = Bench::new(machines, 3)?;
+    // Everything that is left is taken.
+    for _ in 0..machines * CPUS as usize {
+        b.job("array", 1, CPUS / 2.0)?;
+    }
+    let mut before = u64::MAX;
+    while b.leader.array_slots() != before {
+        before = b.leader.array_slots();
+        b.pass();
+        b.report();
+    }
+    for i in 0..waiting {
+        if i % 10 == 0 {
+            b.job("standing", 10, CPUS)?;
+        } else {
+            b.job("array", 10, CPUS)?;
+        }
+    }
+    b.pass();
+    let flavor = |sku: &str, cpus: f64| flavor(sku, cpus, cpus / 10.0, 1.0 / 3.0, 30.0, &ZONES);
+    let flavors = [flavor("big", CPUS)];
+    let (mut passes, mut rentals) = (0.0, 0.0);
+    for i in 0..50 * ROUNDS {
+        b.now = b.now + Micros::millis(20);
+        // Reports come in all the time, and something is always changed by one.
+        b.leader.dirty = true;
+        let t = Instant::now();
+        b.leader.tick(&b.ledger, b.now);
+        passes += t.elapsed().as_secs_f64();
+        if i % 20 == 0 {
+            let t = Instant::now();
+            b.leader.fleet(&flavors, b.now);
+            rentals += t.elapsed().as_secs_f64();
+            b.exchange();
+        }
+    }
+    let a_second = 1e3 / ROUNDS as f64;
+    Ok((passes * a_second, rentals * a_second))
+}
+
 /// Seconds until a leader with so many past jobs has read the records, as text,
 /// and begun its term.
 fn recovery(past: usize, machines: usize) -> Result<(f64, f64), ScaleError> {
@@ -395,6 +441,14 @@
         reads.push((*past as f64, read + began));
     }
     let _ = writeln!(out, "slope over past jobs {:.2}", slope(&reads));
+    out += "waiting jobs   passes ms a s   rentals ms a s\n";
+    let mut spent = Vec::new();
+    for waiting in &s.waiting {
+        let (passes, rentals) = backlog(*waiting, s.machines.first().copied().unwrap_or(300))?;
+        let _ = writeln!(out, "{waiting:>12} {passes:>15.1} {rentals:>16.1}");
+        spent.push((*waiting as f64, passes + rentals));
+    }
+    let _ = writeln!(out, "slope over waiting jobs {:.2}", slope(&spent));
     Ok(out)
 }
 
@@ -404,10 +458,15 @@
 
     #[test]
     fn a_small_size_is_measured() {
-        let s = Sizing { machines: vec![150, 300], controllers: vec![1, 3], past: vec![100, 1000] };
+        let s = Sizing {
+            machines: vec![150, 300],
+            controllers: vec![1, 3],
+            past: vec![100, 1000],
+            waiting: vec![50, 200],
+        };
         let t = run(&s).unwrap();
-        assert_eq!(t.lines().filter(|l| l.starts_with("slope")).count(), 4, "{t}");
-        assert_eq!(t.lines().count(), 1 + 4 + 3 + 1 + 2 + 1, "{t}");
+        assert_eq!(t.lines().filter(|l| l.starts_with("slope")).count(), 5, "{t}");
+        assert_eq!(t.lines().count(), 1 + 4 + 3 + 1 + 2 + 1 + 1 + 2 + 1, "{t}");
     }
 
     #[test]
