Leader: says who waits longest in each class, and why; ordinary machines for thirsty arrays

Change: a line a minute and class (leader/waits.rs); an array of which nothing has run for 30 s may get ordinary machines where all its spot kinds are refused, a quarter of those there.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -51,6 +51,9 @@
     /// Nothing of it runs, and it has waited for long: what others run on
     /// doesn't help it.
     pub starving: bool,
+    /// Nothing of it runs, and it has waited for a while: where no spot machine
+    /// can be had, it may get one of `Policy::ordinary_for_arrays`.
+    pub thirsty: bool,
     /// The job's tasks on machines, by zone.
     pub zones: BTreeMap<String, u32>,
 }
@@ -75,6 +78,9 @@
     pub running_arrays: f64,
     /// Most machines to add.
     pub max_new: usize,
+    /// Ordinary machines that may be added for arrays that could run on spot
+    /// ones, while there are none of these.
+    pub ordinary_for_arrays: usize,
     /// CPUs of room for replicas that should be there in each zone, in
     /// thousandths: those that come don't wait for a machine to boot.
     pub spare: BTreeMap<String, u64>,
@@ -90,7 +96,7 @@
     let mut wants = BTreeMap::new();
     let mut added = 0;
     // Tasks that find room on what is there or booting.
-    let mut unmet: Vec<(Rc<JobSpec>, u32, BTreeMap<String, u32>, bool)> = Vec::new();
+    let mut unmet: Vec<(Rc<JobSpec>, u32, BTreeMap<String, u32>, bool, bool)> = Vec::new();
     let mut placed_arrays = 0.0;
     let mut zone_cpu: BTreeMap<String, u64> = BTreeMap::new();
     for r in rooms.iter().filter(|r| !r.spot) {
@@ -105,7 +111,8 @@
             placed_arrays += (d.waiting - left) as f64;
         }
         if left > 0 {
-            unmet.push((d.spec.clone(), left, zones, d.starving && left == d.waiting));
+            let whole = left == d.waiting;
+            unmet.push((d.spec.clone(), left, zones, d.starving && whole, d.thirsty && whole));
         }
     }
     // Arrays share what is there: rent only what the backlog needs to be
@@ -116,7 +123,8 @@
         .map(|(s, n, ..)| *n as f64 * s.estimate_s.max(1.0))
         .sum();
     let mut slots = (work / policy.drain_s).ceil() - policy.running_arrays - placed_arrays;
-    for (spec, mut left, mut zones, starving) in unmet {
+    let mut ordinary_left = policy.ordinary_for_arrays;
+    for (spec, mut left, mut zones, starving, thirsty) in unmet {
         if spec.kind == Kind::Array {
             if slots <= 0.0 && !starving {
                 continue;
@@ -129,11 +137,16 @@
         let spot_only = spec.kind == Kind::Array
             && offers.iter().any(|o| o.spot && spec.allows(&o.build, &o.zone, true, &o.size));
         left -= fill(&mut rooms, &zone_cpu, &mut nowhere, &spec, &mut zones, left);
+        // Unless it is starved: then a few.
+        let dry = spot_only
+            && thirsty
+            && offers.iter().all(|o| !o.spot || o.refused || !spec.allows(&o.build, &o.zone, true, &o.size));
         while left > 0 && added < policy.max_new {
+            let ordinary = !spot_only || dry && ordinary_left > 0;
             let best = offers
                 .iter()
                 .filter(|o| !o.refused && spec.allows(&o.build, &o.zone, o.spot, &o.size))
-                .filter(|o| o.spot || !spot_only)
+                .filter(|o| o.spot || ordinary)
                 .filter(|o| zone_ok(&spec, &o.zone, &zones))
                 .map(|o| {
                     let k = o.size.count(&spec.need, 10_000).max(1);
@@ -142,6 +155,7 @@
                 })
                 .min_by(|a, b| a.0.total_cmp(&b.0));
             let Some((_, o)) = best else { break };
+            ordinary_left -= (dry && !o.spot) as usize;
             let mut room = Room {
                 build: o.build.clone(),
                 zone: o.zone.clone(),
@@ -284,7 +298,30 @@
             "image_gb":1,"same_place":false,"apart":spread,"loaners":spot,"guess_s":30,
             "mark_s":0,"stow_s":0});
         let spec = gorseshore_protocol::users::parse_submission(v.to_string().as_bytes()).unwrap();
-        Demand { spec: Rc::new(spec), waiting: n, starving: false, zones: BTreeMap::new() }
+        Demand { spec: Rc::new(spec), waiting: n, starving: false, thirsty: false, zones: BTreeMap::new() }
+    }
+
+    fn policy(running_arrays: f64, spare: BTreeMap<String, u64>) -> Policy {
+        Policy { drain_s: 30.0, running_arrays, max_new: 50, ordinary_for_arrays: 0, spare }
+    }
+
+    #[test]
+    fn a_few_ordinary_machines_where_spot_ones_are_sold_out() {
+        let offer = |zone, spot, refused| Offer { refused, ..offer("small", zone, spot, 4.0, 0.1) };
+        // (may be had, has waited, machines allowed; rented)
+        let cases = [
+            (vec![offer("a", false, false), offer("a", true, true)], true, 2, 2),
+            (vec![offer("a", false, false), offer("a", true, true)], true, 0, 0),
+            (vec![offer("a", false, false), offer("a", true, true)], false, 2, 0),
+            // A spot machine may come elsewhere.
+            (vec![offer("a", false, false), offer("a", true, true), offer("b", true, false)], true, 2, 8),
+        ];
+        for (i, (offers, thirsty, allowed, want)) in cases.into_iter().enumerate() {
+            let d = Demand { thirsty, ..demand("array", 8, 4.0, true, false) };
+            let p = Policy { ordinary_for_arrays: allowed, ..policy(0.0, BTreeMap::new()) };
+            let got = plan(Vec::new(), &[d], &offers, &p);
+            assert_eq!(got.values().sum::<u32>(), want, "case {i}: {got:?}");
+        }
     }
 
     #[test]
@@ -319,8 +356,7 @@
             (vec![demand("array", 1, 99.0, true, false)], 0.0, vec![]),
         ];
         for (i, (demands, running, wanted)) in cases.into_iter().enumerate() {
-            let policy =
-                Policy { drain_s: 30.0, running_arrays: running, max_new: 50, spare: BTreeMap::new() };
+            let policy = policy(running, BTreeMap::new());
             let got = plan(Vec::new(), &demands, &offers, &policy);
             assert_eq!(got.into_iter().collect::<Vec<_>>(), wanted, "case {i}");
         }
@@ -329,7 +365,7 @@
     #[test]
     fn a_job_that_nothing_there_fits_is_not_left_waiting() {
         let offers = [offer("small", "a", false, 4.0, 0.16)];
-        let policy = Policy { drain_s: 30.0, running_arrays: 100.0, max_new: 50, spare: BTreeMap::new() };
+        let policy = policy(100.0, BTreeMap::new());
         for (starving, machines) in [(false, 0), (true, 1)] {
             let mut d = demand("array", 3, 4.0, false, false);
             d.starving = starving;
@@ -366,7 +402,7 @@
         ];
         for (rooms, target, want) in cases {
             let spare = BTreeMap::from([("a".to_owned(), target * 1000)]);
-            let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
+            let policy = policy(0.0, spare);
             let got = plan(rooms, &[], &offers, &policy);
             let got: Vec<(&str, u32)> = got.iter().map(|(w, n)| (w.build.as_str(), *n)).collect();
             assert_eq!(got, want, "{target}");
@@ -374,7 +410,7 @@
         // Nothing several times too big where the right size is refused.
         let refused = [Offer { refused: true, ..offers[0].clone() }, offers[1].clone()];
         let spare = BTreeMap::from([("a".to_owned(), 6000)]);
-        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare };
+        let policy = policy(0.0, spare);
         assert!(plan(Vec::new(), &[], &refused, &policy).is_empty());
     }
 
@@ -389,7 +425,7 @@
             free: o[0].size,
             lent: 0,
         };
-        let policy = Policy { drain_s: 30.0, running_arrays: 0.0, max_new: 50, spare: BTreeMap::new() };
+        let policy = policy(0.0, BTreeMap::new());
         let d = [demand("array", 1, 4.0, true, false)];
         assert!(plan(vec![room], &d, &o, &policy).is_empty());
     }
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -1,6 +1,13 @@
 //! Machines: what is asked of the cloud.
 use super::*;
 
+/// An array of which nothing runs has waited for a while after this, in
+/// milliseconds.
+const THIRSTY_MS: u64 = 30_000;
+/// One in so many ordinary machines may be held for arrays while spot ones are
+/// sold out.
+const ORDINARY_PART: usize = 4;
+
 impl Leader {
     /// Decides what to rent and return; what to ask the cloud now.
     pub fn fleet(&mut self, flavors: &[Flavor], now: Micros) -> Vec<CloudWish> {
@@ -19,6 +26,7 @@
             self.drain_warned(now);
             self.watch_zones(now);
             self.return_idle(flavors, now);
+            self.tell_waits(now);
             if now >= self.rent_not_before {
                 self.plan_hires(flavors, now);
             }
@@ -394,11 +402,12 @@
             if waiting == 0 || r.over || r.held || self.blocked(r) || hopeless {
                 continue;
             }
-            let starving = r.bound.is_empty() && wall_ms > r.submitted_ms + 90_000;
+            let waited = |ms: u64| r.bound.is_empty() && wall_ms > r.submitted_ms + ms;
+            let (starving, thirsty) = (waited(90_000), waited(THIRSTY_MS));
             list.push((
                 r.spec.rank,
                 r.order(wall_ms, slots),
-                Demand { spec: r.spec.clone(), waiting, starving, zones: self.zones_of(r) },
+                Demand { spec: r.spec.clone(), waiting, starving, thirsty, zones: self.zones_of(r) },
             ));
         }
         list.sort_by_key(|(rank, order, d)| (std::cmp::Reverse(*rank), *order, d.spec.id));
@@ -408,6 +417,7 @@
             spare: self.spare_targets(now),
             drain_s: 20.0,
             running_arrays: running,
+            ordinary_for_arrays: self.ordinary_for_arrays(),
             max_new: self.ctx.operator.max_machines.saturating_sub(self.machines.len()).min(50),
         };
         let full = policy.max_new == 0 && !demands.is_empty();
@@ -448,6 +458,17 @@
         }
     }
 
+    /// Ordinary machines that may be added for arrays while spot ones are sold
+    /// out: with those that hold nothing but arrays now, a part of all that are
+    /// there. Replicas that come stop work on these, as on any.
+    fn ordinary_for_arrays(&self) -> usize {
+        let ordinary = || self.machines.values().filter(|m| !m.spot && m.stage != Stage::Deleting);
+        let of_array = |t: &TaskId| self.jobs.get(&t.job).is_some_and(|r| r.spec.kind == Kind::Array);
+        let given = ordinary()
+            .filter(|m| m.stage == Stage::Booting || !m.tasks.is_empty() && m.tasks.keys().all(of_array));
+        (ordinary().count() / ORDINARY_PART).saturating_sub(given.count())
+    }
+
     /// Tasks of an array whose ends will be heard: where nothing is heard,
     /// nothing ends.
     fn ends_soon(&self, r: &Run) -> usize {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod schedule;
 #[cfg(test)]
 mod tests;
+pub mod waits;
 pub mod ways;
 
 use crate::books::Ledgers;
@@ -553,6 +554,7 @@
     blocks_at: Micros,
     stops_at: Micros,
     counted: Micros,
+    waits_told: Micros,
     probes: Vec<(NodeId, MachineId, String)>,
     last_seen: BTreeMap<MachineId, (NodeId, Micros)>,
 }
@@ -619,6 +621,7 @@
             blocks_at: Micros(0),
             stops_at: Micros(0),
             counted: Micros(0),
+            waits_told: now,
             probes: Vec::new(),
             last_seen: BTreeMap::new(),
         };
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -445,7 +445,13 @@
         for (i, (team, tasks, cpus)) in jobs.iter().enumerate() {
             b.job(1 + i as u64, 60, team, "array", "standard", *tasks, *cpus);
             let spec = b.leader.jobs[&JobId(1 + i as u64)].spec.clone();
-            demands.push(Demand { spec, waiting: *tasks, starving: false, zones: BTreeMap::new() });
+            demands.push(Demand {
+                spec,
+                waiting: *tasks,
+                starving: false,
+                thirsty: false,
+                zones: BTreeMap::new(),
+            });
         }
         b.leader.keep_to_limits(&mut demands);
         assert_eq!(demands.iter().map(|d| d.waiting).sum::<u32>(), want, "{jobs:?}");
