--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -6,6 +6,9 @@
 /// How often it is gone through for tasks of cancelled jobs.
 const STOPS_EVERY: Micros = Micros::millis(200);
 
+/// Silent machines that the other controllers ask after at a time, so often.
+const PROBES_AT_ONCE: usize = 25;
+
 /// The books of the term before are waited for so long.
 const BOOKS_WAIT: Micros = Micros::millis(1200);
 
@@ -228,7 +231,7 @@
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
             if silent > Micros::millis(3200) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
-                probes.push(id.clone());
+                probes.push((m.probed, id.clone()));
             }
             let open = base + overdue;
             let (here, held) =
@@ -253,7 +256,12 @@
                 doomed.push((id.clone(), silent));
             }
         }
-        for id in probes {
+        // Those that were asked longest ago first, as many as a controller can
+        // ask beside its work: after the loss of most controllers all machines
+        // are silent at once, and their reports come by themselves.
+        probes.sort();
+        probes.truncate(PROBES_AT_ONCE);
+        for (_, id) in probes {
             let Some(m) = self.machines.get_mut(&id) else { continue };
             m.probed = Some(now);
             let (holder, addr) = (m.holder, m.addr.clone());
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -8,7 +8,7 @@
 /// Version of the messages; a frame of another version is refused.
 pub const VERSION: u8 = 3;
 /// Longest frame taken.
-pub const MAX_FRAME: usize = 4 << 20;
+pub const MAX_FRAME: usize = 16 << 20;
 
 /// State of a task on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -70,8 +70,9 @@
             return Ok(());
         }
         let len = peer::decode_head(head)?;
-        let mut body = vec![0u8; len];
-        stream.read_exact(&mut body).await?;
+        // Room is taken as the frame comes, not as its head claims.
+        let mut body = Vec::new();
+        (&mut stream).take(len as u64).read_to_end(&mut body).await?;
         let e = peer::decode_body(&body)?;
         if (e.from.0 as usize) < nodes && e.from != shell.me {
             shell.input(Input::Peer { from: e.from, incarnation: e.incarnation, message: e.message });
