--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -20,17 +20,17 @@
         self.answer_held();
         self.drive();
         self.sync(false);
-        self.send_post();
+        self.send_relayed();
         self.ask_guest(GuestInput::Tick);
-        if self.now.since(self.company.ping_at) >= Micros::millis(500) {
-            self.company.ping_at = self.now;
+        if self.now.since(self.peers.ping_at) >= Micros::millis(500) {
+            self.peers.ping_at = self.now;
             let state_ok = self.mirror.state_ok(self.now);
-            let hears: Vec<NodeId> = (0..self.company.peers.len())
+            let hears: Vec<NodeId> = (0..self.peers.states.len())
                 .map(|i| NodeId(i as u8))
                 .filter(|n| self.hears(*n, HEARD))
                 .collect();
             let queued = self.users.writes.len() as u32;
-            let others = self.company.queued(self.now);
+            let others = self.peers.queued(self.now);
             self.users.share_budget(others, self.nodes.names.len(), self.limits.2);
             for i in 0..self.nodes.names.len() {
                 if i != self.nodes.me.0 as usize {
@@ -89,7 +89,7 @@
                 (Some(k), _) => match self.mirror.ledger.apply(k, Some(&e.v), e.stamp) {
                     Change::Mail(to) => {
                         if to == self.nodes.names[self.nodes.me.0 as usize]
-                            && let Some(p) = self.post.open(&e.v)
+                            && let Some(p) = self.relay.open(&e.v)
                         {
                             self.peer(p.from, p.incarnation, p.message);
                         }
@@ -202,9 +202,9 @@
     /// Whether this node, when nobody leads, should try now: those who hear
     /// more of the others go first.
     pub(super) fn my_turn(&mut self) -> bool {
-        let unheard = (0..self.company.peers.len())
+        let unheard = (0..self.peers.states.len())
             .map(|i| NodeId(i as u8))
-            .filter(|n| *n != self.nodes.me && !self.hears(*n, HEARD) && !self.company.refuses(*n, self.now))
+            .filter(|n| *n != self.nodes.me && !self.hears(*n, HEARD) && !self.peers.refuses(*n, self.now))
             .count() as u64;
         let since = *self.leadership.vacant_since.get_or_insert(self.now);
         self.now.since(since) >= Micros::millis(400 * unheard)
@@ -213,12 +213,12 @@
     /// Whether this leader lost all others, and not because they ended.
     pub(super) fn alone(&mut self) -> bool {
         let others: Vec<NodeId> =
-            (0..self.company.peers.len()).map(|i| NodeId(i as u8)).filter(|n| *n != self.nodes.me).collect();
+            (0..self.peers.states.len()).map(|i| NodeId(i as u8)).filter(|n| *n != self.nodes.me).collect();
         if others.iter().any(|n| self.hears(*n, Micros::millis(3000))) {
-            self.leadership.had_company = true;
+            self.leadership.had_peers = true;
             return false;
         }
-        self.leadership.had_company && !others.iter().any(|n| self.company.refuses(*n, self.now))
+        self.leadership.had_peers && !others.iter().any(|n| self.peers.refuses(*n, self.now))
     }
 
     pub(super) fn step_down(&mut self, why: &str) {
@@ -317,8 +317,8 @@
     fn record_witnesses(&mut self) {
         let Role::Leader { stamp: mine, term, .. } = self.leadership.election.role else { return };
         let Some(l) = self.leadership.leader.as_mut() else { return };
-        let all = (0..self.company.peers.len()).map(|i| NodeId(i as u8));
-        let ended: Vec<NodeId> = all.filter(|n| self.company.refuses(*n, self.now)).collect();
+        let all = (0..self.peers.states.len()).map(|i| NodeId(i as u8));
+        let ended: Vec<NodeId> = all.filter(|n| self.peers.refuses(*n, self.now)).collect();
         let Some((record, stamp)) = l.books_record(&self.mirror.ledger, &ended, self.now) else { return };
         let names: Vec<&str> = record.nodes.iter().map(|(n, _)| n.as_str()).collect();
         debug!("witnesses of term {term}: {}", names.join(", "));
--- a/crates/core/src/node/leadership.rs
+++ b/crates/core/src/node/leadership.rs
@@ -24,7 +24,7 @@
     pub contested: BTreeMap<String, (u32, Micros)>,
     pub bucket: Bucket,
     /// Another controller was heard in this term as leader.
-    pub had_company: bool,
+    pub had_peers: bool,
     pub vacant_since: Option<Micros>,
     /// A lease of this node that was ended, or runs out by itself.
     pub ended_lease: Option<u64>,
@@ -43,7 +43,7 @@
             wrote_at: Micros(0),
             contested: BTreeMap::new(),
             bucket: Bucket::new(changes * 0.45, changes * 0.4, now),
-            had_company: false,
+            had_peers: false,
             vacant_since: None,
             ended_lease: None,
         }
--- a/crates/core/src/node/company.rs
+++ b/crates/core/src/node/membership.rs
@@ -16,8 +16,8 @@
 
 /// All controllers, this one among them.
 #[derive(Debug)]
-pub(super) struct Company {
-    pub peers: Vec<Peer>,
+pub(super) struct Peers {
+    pub states: Vec<Peer>,
     /// The highest term that a leader was heard in.
     pub leader_known: Option<(u64, NodeId)>,
     pub sync_at: Micros,
@@ -28,11 +28,11 @@
 /// A controller that said nothing for so long is not heard.
 pub(super) const HEARD: Micros = Micros::millis(1700);
 
-impl Company {
+impl Peers {
     /// `nodes` controllers, none heard yet.
     pub fn new(nodes: usize) -> Self {
-        Company {
-            peers: vec![Peer::default(); nodes],
+        Peers {
+            states: vec![Peer::default(); nodes],
             leader_known: None,
             sync_at: Micros(0),
             sync_term: 0,
@@ -42,29 +42,29 @@
 
     /// All of them, this one too.
     pub fn all(&self) -> impl Iterator<Item = NodeId> + use<> {
-        (0..self.peers.len()).map(|i| NodeId(i as u8))
+        (0..self.states.len()).map(|i| NodeId(i as u8))
     }
 
     /// Whether a controller was heard within `limit`.
     pub fn hears(&self, n: NodeId, limit: Micros, now: Micros) -> bool {
-        self.peers.get(n.0 as usize).and_then(|p| p.heard).is_some_and(|t| now.since(t) < limit)
+        self.states.get(n.0 as usize).and_then(|p| p.heard).is_some_and(|t| now.since(t) < limit)
     }
 
     /// Whether a controller's host is up without its process.
     pub fn refuses(&self, n: NodeId, now: Micros) -> bool {
-        let refused = self.peers.get(n.0 as usize).and_then(|p| p.refused);
+        let refused = self.states.get(n.0 as usize).and_then(|p| p.refused);
         refused.is_some_and(|t| now.since(t) < Micros::secs(2))
     }
 
     /// A controller that is heard and hears `to`.
     pub fn relay(&self, to: NodeId, now: Micros) -> Option<NodeId> {
         self.all()
-            .find(|r| *r != to && self.hears(*r, HEARD, now) && self.peers[r.0 as usize].hears.contains(&to))
+            .find(|r| *r != to && self.hears(*r, HEARD, now) && self.states[r.0 as usize].hears.contains(&to))
     }
 
     /// Users' changes that wait at others that are heard.
     pub fn queued(&self, now: Micros) -> u32 {
-        self.all().filter(|n| self.hears(*n, HEARD, now)).map(|n| self.peers[n.0 as usize].queued).sum()
+        self.all().filter(|n| self.hears(*n, HEARD, now)).map(|n| self.states[n.0 as usize].queued).sum()
     }
 
     /// A leader was heard in this term.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,24 +1,24 @@
 //! A whole controller node: its mirror of the state service, its part in the
 //! election, its block, and the leader's work while it leads.
 mod catalogue;
-mod company;
 mod duties;
 mod held_check_ins;
 mod host;
 mod leadership;
+mod membership;
 mod mirror;
 mod peers;
-mod post;
+mod relay;
 mod requests;
 mod waiting;
 mod workers;
 
 use catalogue::Catalogue;
-use company::{Company, HEARD};
 use held_check_ins::HeldCheckIns;
 use leadership::Leadership;
+use membership::{HEARD, Peers};
 use mirror::Mirror;
-use post::Post;
+use relay::Relay;
 use waiting::{MAX_WAITING, UserWrite, Users, Waiter};
 
 use crate::books::{Book, Kept};
@@ -27,7 +27,7 @@
 use crate::guest::{Guest, GuestInput, GuestOutput, Host, Ticket};
 use crate::jobs::{self, Change, LeaderRecord, Ledger, MachineRecord, Phase, keys};
 use crate::leader::{CloudWish, Context, HireRequest, Leader, LeaderWrite, View};
-use crate::peer::{Message, Parcel};
+use crate::peer::{Envelope, Message};
 use crate::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
 use gorseshore_protocol::cloud::{Flavors, Hire, Hosts, Rentals};
 use gorseshore_protocol::ids::{JobId, MachineId, Micros, NodeId, OWN_IDS, Resources};
@@ -116,8 +116,8 @@
     mirror: Mirror,
     users: Users,
     leadership: Leadership,
-    company: Company,
-    post: Post,
+    peers: Peers,
+    relay: Relay,
     catalogue: Catalogue,
     held_check_ins: HeldCheckIns,
     ctl: Controller,
@@ -163,8 +163,8 @@
             mirror: Mirror::default(),
             users: Users::new(w * 0.9 / n, d.state.rps / n, now),
             leadership: Leadership::new(&operator, w, now),
-            company: Company::new(nodes.names.len()),
-            post: Post::default(),
+            peers: Peers::new(nodes.names.len()),
+            relay: Relay::default(),
             catalogue: Catalogue::new(d.cloud.rps, now),
             held_check_ins: HeldCheckIns::default(),
             ctl: Controller::default(),
@@ -201,12 +201,12 @@
             }
             Input::Called { id, result } => self.called(id, result),
             Input::Refused(n) => {
-                if let Some(p) = self.company.peers.get_mut(n.0 as usize) {
+                if let Some(p) = self.peers.states.get_mut(n.0 as usize) {
                     p.refused = Some(self.now);
                 }
             }
             Input::Peer { from, incarnation, message } => {
-                if let Some(p) = self.company.peers.get_mut(from.0 as usize) {
+                if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
                     p.heard = Some(self.now);
                 }
                 self.peer(from, incarnation, message);
@@ -316,7 +316,7 @@
                 CallResult::Answer { status: 200, body } => {
                     let stamp = serde_json::from_slice::<MultiAnswer>(body).map_or(0, |a| a.ledger);
                     self.leadership.election.won(term, lease, stamp, asked);
-                    self.leadership.had_company = false;
+                    self.leadership.had_peers = false;
                     self.leadership.won = Some((term, stamp));
                     self.barrier();
                 }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -12,14 +12,14 @@
         }
         let (rec, _) = self.mirror.ledger.leader.as_ref()?;
         let in_state = self.nodes.names.iter().position(|n| *n == rec.node).map(|i| NodeId(i as u8));
-        match self.company.leader_known {
+        match self.peers.leader_known {
             Some((term, n)) if term > rec.term => Some(n),
             _ => in_state,
         }
     }
 
     pub(super) fn leader_term(&self) -> u64 {
-        let known = self.company.leader_known.map_or(0, |x| x.0);
+        let known = self.peers.leader_known.map_or(0, |x| x.0);
         self.mirror.ledger.leader.as_ref().map_or(0, |(r, _)| r.term).max(known)
     }
 
@@ -33,37 +33,38 @@
         // A cut: another controller that hears the receiver passes it on, or,
         // if there is none, the state service does, which no cut between
         // controllers concerns. Whatever comes twice is dropped by its number.
-        let relay = self.company.relay(to, self.now);
+        let relay = self.peers.relay(to, self.now);
         match relay {
             Some(r) => {
-                let parcel =
-                    Parcel { from: self.nodes.me, incarnation: self.incarnation, message: m.clone() };
-                self.out.send(r, Message::Forward { to, parcel: parcel.pack() });
+                let envelope =
+                    Envelope { from: self.nodes.me, incarnation: self.incarnation, message: m.clone() };
+                self.out.send(r, Message::Forward { to, envelope: envelope.pack() });
             }
-            None => self.post.keep(to, &m),
+            None => self.relay.keep(to, &m),
         }
         self.out.send(to, m);
     }
 
     pub(super) fn hears(&self, n: NodeId, limit: Micros) -> bool {
-        self.company.hears(n, limit, self.now)
+        self.peers.hears(n, limit, self.now)
     }
 
     /// Posts what no other way is left for, in as many parts as the values'
     /// limit asks for, as often as a small part of the budget allows.
-    pub(super) fn send_post(&mut self) {
-        if self.post.outgoing.is_empty() || self.now < self.post.next_at || !self.mirror.state_ok(self.now) {
+    pub(super) fn send_relayed(&mut self) {
+        if self.relay.outgoing.is_empty() || self.now < self.relay.next_at || !self.mirror.state_ok(self.now)
+        {
             return;
         }
         let me = self.nodes.names[self.nodes.me.0 as usize].clone();
         let room = self.value_limit.saturating_sub(100).min(MAIL_ROOM / self.limits.0.max(1)).max(100);
         let mut posted = 0;
-        for ((to, _), message) in std::mem::take(&mut self.post.outgoing) {
+        for ((to, _), message) in std::mem::take(&mut self.relay.outgoing) {
             if self.hears(to, HEARD) {
                 continue;
             }
-            let parcel = Parcel { from: self.nodes.me, incarnation: self.incarnation, message }.pack();
-            let text = BASE64.encode(&parcel);
+            let envelope = Envelope { from: self.nodes.me, incarnation: self.incarnation, message }.pack();
+            let text = BASE64.encode(&envelope);
             let parts: Vec<&str> =
                 text.as_bytes().chunks(room).filter_map(|c| std::str::from_utf8(c).ok()).collect();
             if parts.len() > self.limits.0 {
@@ -73,12 +74,12 @@
             if !self.users.bucket.take(self.now, parts.len() as f64, 1.0) {
                 continue;
             }
-            self.post.count += 1;
+            self.relay.count += 1;
             posted += parts.len();
             let to = &self.nodes.names[to.0 as usize];
             let put = |(i, part): (usize, &&str)| Write::Put {
                 put: keys::mail(to, &format!("{me}/{i}")),
-                v: json!([self.incarnation, self.post.count, i, parts.len(), part]),
+                v: json!([self.incarnation, self.relay.count, i, parts.len(), part]),
                 hold: None,
             };
             let writes = parts.iter().enumerate().map(put).collect();
@@ -88,23 +89,23 @@
         // A seventh of all changes, shared by those who may be in the same need.
         let share = self.limits.2 / 7.0 / self.nodes.names.len() as f64;
         let pause = Micros::from_secs_f64(posted as f64 / share.max(0.1));
-        self.post.next_at = self.now + pause.clamp(Micros::millis(400), Micros::millis(1500));
+        self.relay.next_at = self.now + pause.clamp(Micros::millis(400), Micros::millis(1500));
     }
 
     pub(super) fn peer(&mut self, from: NodeId, incarnation: u64, m: Message) {
         match m {
             Message::Ping { state_ok, hears, queued } => {
-                if let Some(p) = self.company.peers.get_mut(from.0 as usize) {
+                if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
                     p.state_ok = state_ok;
                     p.hears = hears;
                     p.queued = queued;
                 }
             }
-            Message::Forward { to, parcel } => {
+            Message::Forward { to, envelope } => {
                 if to != self.nodes.me {
-                    self.out.send(to, Message::Forward { to, parcel });
-                } else if let Some(p) = Parcel::unpack(&parcel).filter(|p| p.from != to) {
-                    // One hop: a parcel holds no other parcel that is passed on.
+                    self.out.send(to, Message::Forward { to, envelope });
+                } else if let Some(p) = Envelope::unpack(&envelope).filter(|p| p.from != to) {
+                    // One hop: a envelope holds no other envelope that is passed on.
                     if !matches!(p.message, Message::Forward { .. }) {
                         self.peer(p.from, p.incarnation, p.message);
                     }
@@ -139,7 +140,7 @@
                 if mine != self.my_incarnation(from) || !self.ctl.accept_update(term, seq, base) {
                     return;
                 }
-                self.company.lead_heard(term, from);
+                self.peers.lead_heard(term, from);
                 let added = self.ctl.take_block(base == 0, &block, &elsewhere);
                 if added > 0 {
                     debug!("block: {added} machines granted");
@@ -207,15 +208,15 @@
 
     pub(super) fn sync(&mut self, force: bool) {
         let Some(to) = self.leader_node() else { return };
-        let age = self.now.since(self.company.sync_at);
+        let age = self.now.since(self.peers.sync_at);
         let term = self.leader_term();
-        let first = std::mem::replace(&mut self.company.sync_term, term) != term;
+        let first = std::mem::replace(&mut self.peers.sync_term, term) != term;
         // A leader that has acknowledged nothing is sent everything, less often.
         let pause = Micros::millis(if self.ctl.unknown_to(term) { 200 } else { 40 });
         if !(force || first || self.ctl.dirty && age >= pause || age >= Micros::millis(500)) {
             return;
         }
-        self.company.sync_at = self.now;
+        self.peers.sync_at = self.now;
         let recent = self.now - Micros::millis(2500);
         self.held_check_ins.strangers.retain(|_, t| *t > recent);
         let strangers = self.held_check_ins.strangers.keys().cloned().collect();
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -47,8 +47,8 @@
         }
         // Alone refused: the others serve the users. When all lost the state
         // service, leaving would help nobody.
-        let fresh = |p: &&company::Peer| p.heard.is_some_and(|t| self.now.since(t) < Micros::millis(2500));
-        let mut heard = self.company.peers.iter().filter(fresh).peekable();
+        let fresh = |p: &&membership::Peer| p.heard.is_some_and(|t| self.now.since(t) < Micros::millis(2500));
+        let mut heard = self.peers.states.iter().filter(fresh).peekable();
         heard.peek().is_some() && heard.all(|p| !p.state_ok)
     }
 
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -130,12 +130,12 @@
         /// Users' changes that wait for their turn in the sender's budget.
         queued: u32,
     },
-    /// To a node that hears the receiver: a `Parcel` to be passed on.
+    /// To a node that hears the receiver: a `Envelope` to be passed on.
     Forward {
         /// Receiver.
         to: NodeId,
-        /// A `Parcel`.
-        parcel: Vec<u8>,
+        /// A `Envelope`.
+        envelope: Vec<u8>,
     },
     /// A controller's view, to the leader: what changed since the `Sync`
     /// numbered `base`, which the leader acknowledged, so that a lost, late or
@@ -236,19 +236,7 @@
     pub message: Message,
 }
 
-/// A message that takes a way round a cut: over another controller, or over
-/// the state service.
-#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
-pub struct Parcel {
-    /// Sender.
-    pub from: NodeId,
-    /// Sender's process.
-    pub incarnation: u64,
-    /// Message.
-    pub message: Message,
-}
-
-impl Parcel {
+impl Envelope {
     /// As bytes, behind the version.
     pub fn pack(&self) -> Vec<u8> {
         let mut out = vec![VERSION];
