--- /dev/null
+++ b/crates/core/src/leader/run.rs
@@ -0,0 +1,153 @@
+//! A job as the leader runs it, and where its tasks may be. Invariant: a task that is
+//! bound anywhere, or done, is not the next one (`Run::peek`).
+use super::*;
+
+/// A task that a controller was given and has not told about.
+#[derive(Debug, Clone)]
+pub(super) struct Handed {
+    pub(super) incarnation: u64,
+    /// Machines on which it may have been started: the block as it was, shared
+    /// by the hand-outs of that time.
+    pub(super) machines: Rc<BTreeSet<MachineId>>,
+    pub(super) hint: MachineId,
+    pub(super) zone: String,
+}
+
+/// Where a task may be. It is free only when all of it is gone.
+#[derive(Debug, Clone)]
+pub(super) struct Binding {
+    pub(super) attempt: Attempt,
+    pub(super) handed: Option<Handed>,
+    pub(super) on: BTreeSet<MachineId>,
+}
+
+/// A job as the leader runs it.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) spec: Rc<JobSpec>,
+    pub(super) stamp: u64,
+    /// When it should be complete, and when its lateness can't be helped, in
+    /// milliseconds of the time of day.
+    pub(super) due_ms: u64,
+    pub(super) last_ms: u64,
+    pub(super) submitted_ms: u64,
+    pub(super) done: TaskSet,
+    pub(super) bound: BTreeMap<u32, Binding>,
+    pub(super) again: BTreeSet<u32>,
+    pub(super) next: u32,
+    pub(super) retry_at: Micros,
+    pub(super) failures: u32,
+    pub(super) failed_on: BTreeSet<MachineId>,
+    pub(super) proven: bool,
+    pub(super) unrecorded_since: Option<Micros>,
+    /// Work was stopped for it; until then no more is.
+    pub(super) room_until: Micros,
+    /// Until then it waits for a machine with its image.
+    pub(super) patience: Option<Micros>,
+    /// Done or cancelled: nothing of it is started, but what is left of it on
+    /// machines counts.
+    pub(super) over: bool,
+    /// Failed attempts, where their number is bounded, and the tasks whose
+    /// count is not recorded yet: those are not started again before it is.
+    pub(super) fails: BTreeMap<u32, Failures>,
+    pub(super) unsaved: BTreeSet<u32>,
+    /// Something of the job that it replaces may be left.
+    pub(super) held: bool,
+    /// Its running tasks as last told, and the update that first told so.
+    pub(super) shown: (u32, u64),
+}
+
+impl Run {
+    pub(super) fn new(job: &Job, spec: Rc<JobSpec>, objectives: &[Objective]) -> Self {
+        let of_class = || objectives.iter().filter(|o| o.class == spec.class);
+        let within = of_class().filter(|o| o.kind == "finished").filter_map(|o| o.within_s).reduce(f64::max);
+        let times = of_class().filter_map(|o| o.times).fold(1.0, f64::max);
+        let due = spec.deadline_s.or(within).unwrap_or(1e9);
+        let last = spec.deadline_s.map(|d| d * times).or(within).unwrap_or(1e9);
+        let at = |s: f64| job.submitted_ms + (s.max(0.0) * 1000.0) as u64;
+        Run {
+            stamp: job.stamp,
+            due_ms: at(due),
+            last_ms: at(last),
+            submitted_ms: job.submitted_ms,
+            done: job.done.clone(),
+            held: !spec.after.is_empty(),
+            spec,
+            bound: BTreeMap::new(),
+            again: BTreeSet::new(),
+            next: 0,
+            retry_at: Micros(0),
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            proven: false,
+            unrecorded_since: None,
+            room_until: Micros(0),
+            patience: None,
+            over: job.phase != Phase::Active,
+            fails: job.failed.clone(),
+            unsaved: BTreeSet::new(),
+            shown: (0, 0),
+        }
+    }
+    /// A task whose attempts are used up.
+    pub(super) fn used_up(&self) -> Option<u32> {
+        let most = self.spec.attempts?;
+        self.fails.iter().find(|(_, f)| f.count >= most).map(|(i, _)| *i)
+    }
+    /// The record says so: number of tasks, progress and failures.
+    pub(super) fn recorded(&mut self, job: &Job, spec: &JobSpec) {
+        self.done.union(&job.done);
+        if spec.tasks != self.spec.tasks {
+            // What is above the smaller number is looked at again.
+            self.next = self.next.min(spec.tasks).min(self.spec.tasks);
+            let mut s = JobSpec::clone(&self.spec);
+            s.tasks = spec.tasks;
+            self.spec = Rc::new(s);
+        }
+        for (i, f) in &job.failed {
+            let mine = self.fails.entry(*i).or_default();
+            if f.last >= mine.last {
+                *mine = *f;
+                self.unsaved.remove(i);
+            }
+        }
+    }
+    /// The next task that waits.
+    pub(super) fn peek(&mut self) -> Option<u32> {
+        while let Some(i) = self.again.iter().copied().find(|i| !self.unsaved.contains(i)) {
+            if i < self.spec.tasks && !self.done.contains(i) && !self.bound.contains_key(&i) {
+                return Some(i);
+            }
+            self.again.remove(&i);
+        }
+        while self.next < self.spec.tasks {
+            if !self.done.contains(self.next) && !self.bound.contains_key(&self.next) {
+                return Some(self.next);
+            }
+            self.next += 1;
+        }
+        None
+    }
+    /// Its place among its team's jobs: the earliest due first, behind them
+    /// those that can't be in time any more, until they have waited very long.
+    /// `slots` is how many such tasks run at a time.
+    pub(super) fn order(&self, wall_ms: u64, slots: u64) -> (bool, u64, u64) {
+        let span = self.last_ms.saturating_sub(self.submitted_ms);
+        let waves = 1.0 + self.waiting() as f64 / slots.max(1) as f64;
+        let end = wall_ms + (self.spec.estimate_s * waves * 1000.0) as u64;
+        let late = end > self.last_ms && wall_ms < self.last_ms + 3 * span;
+        // A large job holds up many small ones that could still be in time: it
+        // goes behind them by its part of the slots. A deadline of its owner's
+        // is kept to as it is.
+        let part = match self.spec.deadline_s {
+            None => (self.waiting() as f64 / slots.max(1) as f64).min(1.0),
+            Some(_) => 0.0,
+        };
+        (late, self.due_ms + (span as f64 * part) as u64, self.submitted_ms)
+    }
+    pub(super) fn waiting(&self) -> u32 {
+        let n = self.spec.tasks;
+        let bound = self.bound.keys().filter(|i| **i < n && !self.done.contains(**i)).count() as u32;
+        n.saturating_sub(self.done.below(n)).saturating_sub(bound)
+    }
+}
