--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -4,9 +4,14 @@
 /// An array of which nothing runs has waited for a while after this, in
 /// milliseconds.
 const THIRSTY_MS: u64 = 30_000;
-/// One in so many ordinary machines may be held for arrays while spot ones are
-/// sold out.
-const ORDINARY_PART: usize = 4;
+/// One in so many ordinary machines may hold nothing but arrays while spot ones
+/// are sold out.
+const ORDINARY_PART: usize = 2;
+/// Spot machines are sold out when in so long a time only a few could be had for
+/// what waits.
+const SOLD_OUT: Micros = Micros::secs(60);
+/// Waiting tasks for each spot machine that was had meanwhile.
+const FEW: usize = 4;
 
 impl Leader {
     /// Decides what to rent and return; what to ask the cloud now.
@@ -110,6 +115,9 @@
             return;
         };
         self.hires.remove(&req.name);
+        if req.spot && !hosts.is_empty() {
+            self.spot_had.push_back((now, hosts.len()));
+        }
         if hosts.len() < req.count as usize {
             self.refused.insert((req.build.clone(), req.zone.clone(), req.spot), now);
         }
@@ -390,6 +398,7 @@
         }
         let (wall_ms, slots) = (self.wall_ms(now), self.array_slots());
         let mut list: Vec<(Rank, (bool, u64, u64), Demand)> = Vec::new();
+        let mut thirsty = 0;
         let mut running = 0.0;
         for r in self.jobs.values() {
             if r.spec.kind == Kind::Array {
@@ -403,11 +412,12 @@
                 continue;
             }
             let waited = |ms: u64| r.bound.is_empty() && wall_ms > r.submitted_ms + ms;
-            let (starving, thirsty) = (waited(90_000), waited(THIRSTY_MS));
+            let (starving, dry) = (waited(90_000), waited(THIRSTY_MS) && r.spec.kind == Kind::Array);
+            thirsty += if dry { waiting as usize } else { 0 };
             list.push((
                 r.spec.rank,
                 r.order(wall_ms, slots),
-                Demand { spec: r.spec.clone(), waiting, starving, thirsty, zones: self.zones_of(r) },
+                Demand { spec: r.spec.clone(), waiting, starving, thirsty: dry, zones: self.zones_of(r) },
             ));
         }
         list.sort_by_key(|(rank, order, d)| (std::cmp::Reverse(*rank), *order, d.spec.id));
@@ -417,7 +427,7 @@
             spare: self.spare_targets(now),
             drain_s: 20.0,
             running_arrays: running,
-            ordinary_for_arrays: self.ordinary_for_arrays(),
+            ordinary_for_arrays: self.ordinary_for_arrays(thirsty, now),
             max_new: self.ctx.operator.max_machines.saturating_sub(self.machines.len()).min(50),
         };
         let full = policy.max_new == 0 && !demands.is_empty();
@@ -461,7 +471,14 @@
     /// Ordinary machines that may be added for arrays while spot ones are sold
     /// out: with those that hold nothing but arrays now, a part of all that are
     /// there. Replicas that come stop work on these, as on any.
-    fn ordinary_for_arrays(&self) -> usize {
+    fn ordinary_for_arrays(&mut self, thirsty: usize, now: Micros) -> usize {
+        while self.spot_had.front().is_some_and(|(t, _)| now.since(*t) >= SOLD_OUT) {
+            self.spot_had.pop_front();
+        }
+        let had: usize = self.spot_had.iter().map(|(_, n)| n).sum();
+        if thirsty <= had * FEW || now.since(self.began) < SOLD_OUT {
+            return 0;
+        }
         let ordinary = || self.machines.values().filter(|m| !m.spot && m.stage != Stage::Deleting);
         let of_array = |t: &TaskId| self.jobs.get(&t.job).is_some_and(|r| r.spec.kind == Kind::Array);
         let given = ordinary()
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -38,7 +38,7 @@
 use gorseshore_protocol::job::{JobSpec, Kind, RANKS, Rank};
 use gorseshore_settings::{Objective, Operator, Team};
 use log::{debug, info, warn};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// Sums over bound tasks, kept as tasks are bound and freed.
@@ -180,6 +180,8 @@
     stops: BTreeMap<(TaskId, Attempt), (StopRequest, Micros)>,
     hires: BTreeMap<String, (HireRequest, HireStage, Micros)>,
     refused: BTreeMap<(String, String, bool), Micros>,
+    /// Spot machines that were rented of late: when, and how many.
+    spot_had: VecDeque<(Micros, usize)>,
     /// Zones, as far as they are heard.
     health: Health,
     /// When the ways to the zones opened.
@@ -253,11 +255,12 @@
             stops: BTreeMap::new(),
             hires: BTreeMap::new(),
             refused: BTreeMap::new(),
+            spot_had: VecDeque::new(),
             health: Health::default(),
             ways: Ways::default(),
             progressed: BTreeSet::new(),
             rooms: room::Rooms::default(),
-            waiting: schedule::Waiting::default(),
+            waiting: schedule::Waiting::new(),
             requeue: true,
             dirty: true,
             fleet_at: now,
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -26,6 +26,13 @@
     unsure: bool,
 }
 
+impl Waiting {
+    /// At the beginning of a term.
+    pub(super) fn new() -> Self {
+        Waiting { unsure: true, ..Waiting::default() }
+    }
+}
+
 /// How long the order of waiting jobs is kept while nothing begins to wait.
 const ORDER_KEPT: Micros = Micros::millis(250);
 
@@ -77,7 +84,7 @@
             return false;
         }
         // Machines that nobody heard yet may hold anybody's tasks.
-        if self.machines.values().any(|m| m.unknown) {
+        if self.unsure() {
             return true;
         }
         let (c, g) = self.team_use(&spec.team);
@@ -85,9 +92,16 @@
         (max.cpu > 0 && c + spec.need.cpu > max.cpu) || (max.gpu > 0 && g + spec.need.gpu > max.gpu)
     }
 
+    /// Whether there are machines that nobody heard in this term. Once there are
+    /// none, there are none for the rest of it.
+    fn unsure(&self) -> bool {
+        self.waiting.unsure && self.machines.values().any(|m| m.unknown)
+    }
+
     /// Whether a machine that nobody heard may hold a task of the job.
     pub(super) fn blocked(&self, run: &Run) -> bool {
         run.stamp <= self.began_stamp
+            && self.waiting.unsure
             && self
                 .machines
                 .values()
@@ -150,8 +164,7 @@
     fn waiting_jobs(&mut self, now: Micros) -> Waiting {
         let wall_ms = self.wall_ms(now);
         let slots = self.array_slots();
-        let mut waiting =
-            Waiting { made: now, unsure: self.machines.values().any(|m| m.unknown), ..Waiting::default() };
+        let mut waiting = Waiting { made: now, unsure: self.unsure(), ..Waiting::default() };
         let mut ranks: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
         let mut ready: Vec<JobId> = Vec::new();
         for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over && !r.held) {
