--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -591,3 +591,107 @@
         assert!(started(&mut b), "{record_first}");
     }
 }
+
+#[test]
+fn the_log_says_who_waits_longest_and_why() {
+    use super::waits::Why;
+    type Step = fn(&mut Bench);
+    // Three jobs each take a machine's eight CPUs, the first one has them.
+    let fill: Step = |b| {
+        b.confirm("m0", &[]);
+        b.job(8, 60, "t", "array", "standard", 1, 8.0);
+        b.tick(30);
+    };
+    // (what comes before, the job that waits: team, tasks, CPUs; why)
+    let cases: [(&str, Step, (&str, u32, f64), Why); 6] = [
+        ("nobody heard the machine", |b| b.seq[0] += 1, ("t", 1, 1.0), Why::Unheard),
+        ("the machine is full", fill, ("t", 1, 8.0), Why::NoRoom),
+        (
+            "the machine is full, and the cloud has none",
+            |b| {
+                b.confirm("m0", &[]);
+                b.job(8, 60, "t", "array", "standard", 1, 8.0);
+                b.tick(30);
+                b.leader.refused.insert(("big".into(), "east".into(), false), b.now + Micros::secs(35));
+            },
+            ("t", 1, 8.0),
+            Why::SoldOut,
+        ),
+        (
+            "its team is at its limit",
+            |b| {
+                b.confirm("m0", &[]);
+                b.job(8, 60, "tight", "array", "standard", 1, 4.0);
+                b.tick(30);
+            },
+            ("tight", 1, 4.0),
+            Why::Limit,
+        ),
+        (
+            "it replaces one that runs",
+            |b| {
+                b.confirm("m0", &[]);
+                b.job(8, 60, "t", "array", "standard", 1, 1.0);
+                b.tick(30);
+            },
+            ("t", 1, 1.0),
+            Why::Held,
+        ),
+        ("nothing was handed out yet", |b| b.confirm("m0", &[]), ("t", 1, 1.0), Why::Turn),
+    ];
+    for (what, before, (team, tasks, cpus), want) in cases {
+        let mut b = Bench::new(1);
+        before(&mut b);
+        b.job(9, if want == Why::Unheard { 40 } else { 61 }, team, "array", "standard", tasks, cpus);
+        if want == Why::Held {
+            b.edit(9, 62, |s| s.after = vec![JobId(8)]);
+            b.leader.jobs.remove(&JobId(9));
+            b.leader.job_changed(JobId(9), &b.ledger, b.now);
+        }
+        assert!(b.leader.longest_waits(b.now).is_empty(), "{what}: too soon");
+        let waits = b.leader.longest_waits(b.now + Micros::secs(40));
+        let got: Vec<(JobId, Why)> = waits.iter().map(|w| (w.1, w.3)).collect();
+        assert_eq!(got, [(JobId(9), want)], "{what}");
+    }
+}
+
+/// Arrays that may run on spot machines get ordinary ones only while spot ones
+/// are sold out, after a minute of that, and no more than others hold.
+#[test]
+fn sold_out_spot_machines_are_replaced_by_a_bounded_number_of_ordinary_ones() {
+    let flavor = |price| Flavor {
+        sku: "big".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 100.0,
+        pull_gb_per_s: 1.0,
+        hourly: 1.0,
+        spot_price: price,
+        boot_s: 20.0,
+        yards: vec!["east".into()],
+    };
+    // (ordinary machines there, seconds since the term began, spot machines had
+    // ten seconds before, rented: ordinary ones, one of them the room that is
+    // kept for replicas where there are any)
+    let cases = [(6, 100, 0, 3 + 1), (6, 30, 0, 1), (6, 100, 40, 1), (2, 100, 0, 1 + 1), (0, 100, 0, 0)];
+    for (there, passed, had, want) in cases {
+        let mut b = Bench::new(there);
+        for i in 0..there {
+            b.confirm(&format!("m{i}"), &[]);
+            b.job(100 + i as u64, 60, "t", "standing", "prod", 1, 8.0);
+        }
+        b.tick(30);
+        b.job(1, 61, "t", "array", "standard", 80, 8.0);
+        b.edit(1, 62, |s| s.spot = true);
+        b.leader.jobs.remove(&JobId(1));
+        b.leader.job_changed(JobId(1), &b.ledger, b.now);
+        let at = b.now + Micros::secs(passed);
+        b.leader.spot_had.push_back((at - Micros::secs(10), had));
+        // Asked for just now, and refused.
+        b.leader.refused.insert(("big".into(), "east".into(), true), at);
+        b.leader.fleet(&[flavor(Some(0.3))], at);
+        let rented: u32 = b.leader.hires.values().filter(|(r, ..)| !r.spot).map(|(r, ..)| r.count).sum();
+        assert_eq!(rented, want, "{there} machines, {passed} s, {had} spot machines had");
+    }
+}
