--- a/crates/shell/src/client.rs
+++ b/crates/shell/src/client.rs
@@ -28,6 +28,8 @@
     /// Connections kept with workers, and when stale ones were looked for.
     kept: Cell<usize>,
     most_kept: usize,
+    /// Connections from outside that could still be open.
+    spare: Cell<usize>,
     swept: Cell<Instant>,
     calls: Semaphore,
 }
@@ -41,11 +43,38 @@
             idle: RefCell::default(),
             kept: Cell::new(0),
             most_kept: bounds.kept,
+            spare: Cell::new(bounds.most),
             swept: Cell::new(Instant::now()),
             calls: Semaphore::new(bounds.calls),
         }
     }
 
+    /// How many connections with workers may be kept: a part of their own, and
+    /// half of what those from outside leave.
+    fn may_keep(&self) -> usize {
+        self.most_kept + self.spare.get() / 2
+    }
+
+    /// So many more connections from outside could be open. Kept ones make room
+    /// for them, some more than needed, so that not each newcomer counts them.
+    pub fn leave_room(&self, spare: usize) {
+        self.spare.set(spare);
+        if self.kept.get() <= self.may_keep() {
+            return;
+        }
+        let mut left = self.may_keep() * 7 / 8;
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|addr, v| {
+            if !self.is_worker(addr) {
+                return true;
+            }
+            v.truncate(left);
+            left -= v.len();
+            !v.is_empty()
+        });
+        self.kept.set(idle.iter().filter(|(a, _)| self.is_worker(a)).map(|(_, v)| v.len()).sum());
+    }
+
     fn is_worker(&self, addr: &str) -> bool {
         addr != self.state && addr != self.cloud
     }
@@ -120,7 +149,7 @@
     fn keep(&self, addr: &str, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
         if self.is_worker(addr) {
-            if self.kept.get() >= self.most_kept && self.swept.get().elapsed() >= SWEEP {
+            if self.kept.get() >= self.may_keep() && self.swept.get().elapsed() >= SWEEP {
                 self.swept.set(Instant::now());
                 idle.retain(|_, v| {
                     v.retain(|(_, t)| t.elapsed() < STALE);
@@ -128,7 +157,7 @@
                 });
                 self.kept.set(idle.iter().filter(|(a, _)| self.is_worker(a)).map(|(_, v)| v.len()).sum());
             }
-            if self.kept.get() >= self.most_kept {
+            if self.kept.get() >= self.may_keep() {
                 return;
             }
             self.kept.set(self.kept.get() + 1);
@@ -180,3 +209,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn kept_connections_make_room_for_those_from_outside() {
+        smol::block_on(async {
+            let bounds = Bounds { most: 100, lobby: 4, calls: 4, kept: 4, guest: 0 };
+            let client = Client::new("127.0.0.1:1", "127.0.0.1:2", &bounds);
+            let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let mut others = Vec::new();
+            let mut connect = async || {
+                let s = TcpStream::connect(addr).await.unwrap();
+                others.push(listener.accept().await.unwrap());
+                s
+            };
+            // (room that those from outside leave, connections kept of 70)
+            for (spare, want) in [(100, 54), (60, 29), (0, 3), (100, 54)] {
+                client.leave_room(spare);
+                for i in 0..70 {
+                    client.keep(&format!("10.0.0.1:{i}"), connect().await);
+                }
+                client.leave_room(spare);
+                let kept: usize = client.idle.borrow().values().map(Vec::len).sum();
+                assert_eq!(kept, client.kept.get());
+                assert!(kept <= client.may_keep() && kept + 5 >= want, "{spare}: {kept} kept");
+            }
+            // State service and cloud are not counted with them.
+            client.keep("127.0.0.1:1", connect().await);
+            client.leave_room(0);
+            assert!(client.kept("127.0.0.1:1").await.is_some());
+            assert!(client.kept.get() <= 4);
+        });
+    }
+}
--- a/crates/shell/src/server.rs
+++ b/crates/shell/src/server.rs
@@ -62,6 +62,14 @@
 }
 
 impl Entry {
+    /// Users' and workers' connections take the room of those kept with workers.
+    fn leave_room(&self, shell: &Shell, door: Door) {
+        if door == Door::Users {
+            let (open, most) = self.admission.load();
+            shell.client.leave_room(most.saturating_sub(open));
+        }
+    }
+
     fn let_go(&self, id: Option<ConnId>) {
         if let Some(tx) = id.and_then(|id| self.let_go.get(&id)) {
             let _ = tx.try_send(());
@@ -103,6 +111,7 @@
                     e.tell();
                     let Some(id) = id else { continue };
                     e.let_go.insert(id, tx);
+                    e.leave_room(&shell, door);
                     id
                 };
                 let (shell, entry) = (shell.clone(), entry.clone());
@@ -111,6 +120,7 @@
                     let mut e = entry.borrow_mut();
                     e.admission.closed(id);
                     e.let_go.remove(&id);
+                    e.leave_room(&shell, door);
                 })
                 .detach();
             }
