--- a/tests/smoke.rs
+++ b/tests/smoke.rs
@@ -2,7 +2,8 @@
 use gorseshore_standins::net::{call, free_address, raw};
 use gorseshore_standins::site::{Options, Site};
 use serde_json::json;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -159,6 +160,72 @@
     let _ = std::fs::remove_file(file);
 }
 
+/// Asks on an open connection; the status, 0 where it was closed.
+fn ask(s: &mut TcpStream, head: &str, body: &str) -> u16 {
+    let text = format!("{head} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let mut part = [0u8; 1024];
+    let n = s.write_all(text.as_bytes()).and_then(|()| s.read(&mut part)).unwrap_or(0);
+    let words = String::from_utf8_lossy(&part[..n]);
+    words.split(' ').nth(1).and_then(|w| w.parse().ok()).unwrap_or(0)
+}
+
+/// Users hold every connection that may stay open, and more come: all workers are
+/// answered and stay, and no user is left without an answer.
+#[test]
+fn workers_come_in_where_users_fill_all_connections() {
+    let site = Site::start(&Options { controllers: 0, ..Options::default() }).unwrap();
+    let (public, cluster) = (free_address().unwrap(), free_address().unwrap());
+    let text =
+        settings(public, cluster, site.cloud, site.state) + "[deployment.machine_limits]\nsockets = 200\n";
+    let file = std::env::temp_dir().join(format!("gorseshore-crowd-{}.toml", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let _node =
+        Running(program(&["--config", file.to_str().unwrap()]).stderr(Stdio::null()).spawn().unwrap());
+    until("ready", || call(public, "GET", "/ready", "").is_some_and(|r| r.0 == 200));
+    let open = || {
+        let s = TcpStream::connect(public).unwrap();
+        s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        s
+    };
+    let poll = |s: &mut TcpStream| ask(s, "GET /submissions/j-000777", "");
+    // More than may stay: those that were idle for longest go.
+    let mut users: Vec<TcpStream> = Vec::new();
+    for _ in 0..180 {
+        let mut s = open();
+        assert_eq!(poll(&mut s), 404);
+        users.push(s);
+    }
+    assert_eq!(poll(&mut users[179]), 404, "the newest stays");
+    assert_eq!(poll(&mut users[0]), 0, "the oldest went");
+    let report = |host: usize| {
+        json!({"host": format!("host-{host:06}"), "addr": "127.0.0.1:9", "build": "small", "yard": "east",
+            "loaners": false, "shift": 1, "tally": 1, "baton": 0, "warning_s": null, "pieces": []})
+        .to_string()
+    };
+    // All at once, each on a connection of its own, twice; others come and go
+    // meanwhile, and each gets an answer.
+    let workers: Vec<_> = (0..60)
+        .map(|i| {
+            let body = report(i);
+            std::thread::spawn(move || {
+                let mut s = TcpStream::connect(public).unwrap();
+                s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+                [0, 1].map(|_| ask(&mut s, "POST /checkin", &body))
+            })
+        })
+        .collect();
+    for _ in 0..100 {
+        let status = poll(&mut open());
+        assert!([404, 503].contains(&status), "a user: {status}");
+    }
+    for (i, w) in workers.into_iter().enumerate() {
+        for status in w.join().unwrap() {
+            assert!([200, 421].contains(&status), "worker {i}: {status}");
+        }
+    }
+    let _ = std::fs::remove_file(file);
+}
+
 #[test]
 fn settings_are_checked() {
     let a: SocketAddr = "127.0.0.1:9".parse().unwrap();
@@ -172,6 +239,7 @@
         (good.clone(), include_str!("../docs/operator.example.txtpb"), vec![]),
         (good.replace("127.0.0.1:9", "nowhere"), "", vec!["public_addr", "endpoints.state"]),
         (good.replace("lease_s = 12.0", "lease_s = -1.0"), "", vec!["deployment.workers.lease_s"]),
+        (good.replace("zones =", "clock_off_ms = -1.0\nzones ="), "", vec!["deployment.clock_off_ms"]),
         (good.replace("host_name", "hostname"), "", vec!["host_name"]),
         (good.clone(), "block_lease_ms: 1", vec!["block_lease_ms"]),
         (good.clone(), "task_cost: 1\n  colour: 3", vec!["line 2, column 3", "colour"]),
