--- a/crates/shell/src/admission.rs
+++ b/crates/shell/src/admission.rs
@@ -153,7 +153,6 @@
     pub fn opened(&mut self, now: Micros) -> (Option<ConnId>, Option<ConnId>) {
         let gone = self.let_go(1, Who::Unknown, now);
         if self.open.len() >= self.bounds.most + self.bounds.lobby {
-            self.turned_away += 1;
             return (None, gone);
         }
         self.next += 1;
@@ -163,6 +162,11 @@
         (Some(id), gone)
     }
 
+    /// Nobody made room for a newcomer in time: it is closed unasked.
+    pub fn turn_away(&mut self) {
+        self.turned_away += 1;
+    }
+
     /// A request came. What becomes of it, and who is let go for it.
     pub fn asks(&mut self, id: ConnId, who: Who, now: Micros) -> (Manner, Option<ConnId>) {
         self.busy(id);
--- a/crates/shell/src/server.rs
+++ b/crates/shell/src/server.rs
@@ -21,6 +21,8 @@
 const SLOW: Duration = Duration::from_secs(5);
 /// Who is refused for want of a connection may come back after this, in seconds.
 const COME_BACK: u32 = 2;
+/// How often, every 2 ms, a place is looked for before a newcomer is closed.
+const LETS_GO_IN: u32 = 20;
 /// That connections run short is logged no more often than this.
 const TOLD_EVERY: Duration = Duration::from_secs(10);
 
@@ -104,16 +106,12 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let (tx, rx) = bounded(1);
-                let id = {
+                let Some(id) = admit(&entry, &shell).await else { continue };
+                {
                     let mut e = entry.borrow_mut();
-                    let (id, gone) = e.admission.opened(shell.now());
-                    e.let_go(gone);
-                    e.tell();
-                    let Some(id) = id else { continue };
                     e.let_go.insert(id, tx);
                     e.leave_room(&shell, door);
-                    id
-                };
+                }
                 let (shell, entry) = (shell.clone(), entry.clone());
                 ex.spawn(async move {
                     serve(&shell, stream, door, id, &entry, rx).await;
@@ -132,6 +130,25 @@
     }
 }
 
+/// Lets a newcomer in. Those who are let go for it need a moment to close, in
+/// which nobody else is taken from the queue either.
+async fn admit(entry: &RefCell<Entry>, shell: &Shell) -> Option<ConnId> {
+    for _ in 0..LETS_GO_IN {
+        {
+            let mut e = entry.borrow_mut();
+            let (id, gone) = e.admission.opened(shell.now());
+            e.let_go(gone);
+            e.tell();
+            if id.is_some() {
+                return id;
+            }
+        }
+        Timer::after(Duration::from_millis(2)).await;
+    }
+    entry.borrow_mut().admission.turn_away();
+    None
+}
+
 async fn serve(
     shell: &Rc<Shell>,
     mut stream: TcpStream,
