Read once more: one list of controllers in contact, one count of kept connections

The list was made in three places, the count in two; Admission::leaves was only asked by its own test. Behaviour is as it was; the tests of core and shell and the lints pass.

--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -20,6 +20,11 @@
             .is_some_and(|t| now.since(t) < Micros::millis(2500))
     }
 
+    /// Which controllers are in contact, by their number.
+    pub(super) fn contacts(&self, now: Micros) -> Vec<bool> {
+        (0..self.nodes.len()).map(|i| self.in_contact(NodeId(i as u8), now)).collect()
+    }
+
     /// How many machines each controller holds.
     pub(super) fn loads(&self) -> Vec<usize> {
         let mut load = vec![0usize; self.nodes.len()];
@@ -78,7 +83,7 @@
     /// this node may lead.
     pub fn tick(&mut self, ledger: &Ledger, now: Micros) {
         if !self.granted {
-            let all = (0..self.nodes.len()).all(|i| self.in_contact(NodeId(i as u8), now));
+            let all = self.contacts(now).into_iter().all(|c| c);
             let waited = now.since(self.began);
             if !(all || waited >= Micros::millis(700)) || self.wants_books && waited < BOOKS_WAIT {
                 return;
--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -176,8 +176,7 @@
 impl Leader {
     /// Brings the places up to date with all that changed since the last pass.
     pub(super) fn settle_rooms(&mut self, now: Micros) {
-        let contact: Vec<bool> =
-            (0..self.nodes.len()).map(|i| self.in_contact(NodeId(i as u8), now)).collect();
+        let contact = self.contacts(now);
         self.rooms.zone_cpu.values_mut().for_each(|z| *z = 0);
         for (id, m) in self.machines.iter_mut() {
             if !m.spot && m.stage != Stage::Deleting {
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -443,8 +443,7 @@
     /// Machines with work that replicas, or a team within its guarantee, may
     /// have stopped, and the most room that this would leave.
     fn lendable(&self, guaranteed: bool, now: Micros) -> Lendable {
-        let contact: Vec<bool> =
-            (0..self.nodes.len()).map(|i| self.in_contact(NodeId(i as u8), now)).collect();
+        let contact = self.contacts(now);
         let mut l = Lendable::default();
         let mut machines = Vec::new();
         for (id, m) in self.machines.iter().filter(|(_, m)| m.in_reach(&contact)) {
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -596,7 +596,7 @@
 fn the_log_says_who_waits_longest_and_why() {
     use super::waits::Why;
     type Step = fn(&mut Bench);
-    // Three jobs each take a machine's eight CPUs, the first one has them.
+    // A job that takes all of the machine's eight CPUs.
     let fill: Step = |b| {
         b.confirm("m0", &[]);
         b.job(8, 60, "t", "array", "standard", 1, 8.0);
--- a/crates/shell/src/admission.rs
+++ b/crates/shell/src/admission.rs
@@ -221,11 +221,6 @@
         self.leaving.remove(&id);
     }
 
-    /// Whether it is let go.
-    pub fn leaves(&self, id: ConnId) -> bool {
-        self.leaving.contains(&id)
-    }
-
     /// Who has been idle for longest makes room, if `more` are to come and there
     /// is none: users and silent newcomers, then, for a worker, another worker,
     /// which connects anew for its next report.
@@ -320,7 +315,7 @@
         a.idle(first, ms(0));
         let others: Vec<_> = (0..3).map(|i| a.opened(ms(i)).0.unwrap()).collect();
         assert_eq!(a.opened(ms(5)).1, Some(first));
-        assert!(a.leaves(first));
+        assert!(a.leaving.contains(&first));
         assert_eq!(a.asks(first, Who::Poll, ms(6)), (Manner::Close, None));
         // Newcomers get a second to speak, and then go.
         assert_eq!(a.opened(ms(7)).1, None);
--- a/crates/shell/src/client.rs
+++ b/crates/shell/src/client.rs
@@ -72,6 +72,11 @@
             left -= v.len();
             !v.is_empty()
         });
+        self.count(&idle);
+    }
+
+    /// Counts the connections kept with workers anew.
+    fn count(&self, idle: &HashMap<String, Vec<(TcpStream, Instant)>>) {
         self.kept.set(idle.iter().filter(|(a, _)| self.is_worker(a)).map(|(_, v)| v.len()).sum());
     }
 
@@ -155,7 +160,7 @@
                     v.retain(|(_, t)| t.elapsed() < STALE);
                     !v.is_empty()
                 });
-                self.kept.set(idle.iter().filter(|(a, _)| self.is_worker(a)).map(|(_, v)| v.len()).sum());
+                self.count(&idle);
             }
             if self.kept.get() >= self.may_keep() {
                 return;
