Mistaken jobs, overdue jobs, bounds on what is on its way

Change: a job of which nothing ran for 100 s gets one task before all others, and a machine gathers room for it (leader/overdue.rs). A job that fails on several machines and has run well nowhere is tried one task at a time, and only failures of jobs that run elsewhere count against a machine. 2,000 hand-outs of arrays on their way; a hand-out goes again after 250 ms, not with each update; 1 MiB of frames wait for a peer.

--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -24,7 +24,7 @@
                 }
                 self.blocks.clear();
                 self.blocks_at = Micros(0);
-                self.handouts.retain(|_, (n, ..)| *n != from);
+                self.handouts.retain(|_, h| h.to != from);
             }
             self.dirty = true;
         } else if view.seq <= node.sync_seq {
@@ -63,8 +63,8 @@
     }
 
     pub(super) fn outcome(&mut self, from: NodeId, incarnation: u64, o: &Outcome) {
-        let Some((node, h, _)) = self.handouts.remove(&o.attempt) else { return };
-        debug_assert_eq!(node, from);
+        let Some(OnItsWay { to, out: h, .. }) = self.handouts.remove(&o.attempt) else { return };
+        debug_assert_eq!(to, from);
         self.dirty = true;
         if let Some(m) = self.machines.get_mut(&h.hint) {
             m.reserved.remove(&o.attempt);
@@ -162,6 +162,7 @@
                     .entry(task.job)
                     .or_insert_with(|| Run::new(job, spec.clone(), &self.ctx.objectives));
                 run.proven |= proven;
+                run.begun |= *state == TaskState::Running;
                 let sums = &mut self.sums;
                 let b = run.bound.entry(task.index).or_insert_with(|| {
                     sums.bound(&spec);
@@ -214,7 +215,7 @@
         let known = run.bound.get(&task.index).is_some_and(|b| b.on.contains(id));
         match state {
             TaskState::Done if run.spec.kind == Kind::Array && task.index < run.spec.tasks => {
-                run.proven = true;
+                (run.proven, run.begun) = (true, true);
                 self.progressed.insert(task.job);
                 if run.done.insert(task.index)
                     && ledger.jobs.get(&task.job).is_some_and(|j| !j.done.contains(task.index))
@@ -246,27 +247,34 @@
                 } else {
                     run.retry_at = now + Micros::millis(200);
                 }
-                let (proven, job) = (run.proven, task.job);
+                if run.mistaken() && run.failures == MISTAKEN + 1 {
+                    info!("{}: fails wherever it is: one task at a time from here on", task.job);
+                }
                 if let Some(m) = self.machines.get_mut(id) {
                     m.failures += 1;
-                    m.failed_jobs.insert(job);
-                    let guilty = m.failed_jobs.len() >= 2 || (m.failures >= 2 && proven);
-                    if guilty && m.draining.is_none() {
-                        info!(
-                            "{id}: {} tasks of {} jobs failed on it; taken out of use",
-                            m.failures,
-                            m.failed_jobs.len()
-                        );
-                        m.draining = Some("tasks fail on it");
-                        self.tell(id);
-                    }
+                    *m.failed_jobs.entry(task.job).or_default() += 1;
                 }
+                self.take_out_if_guilty(id);
             }
             _ => {}
         }
         self.dirty = true;
     }
 
+    /// Takes a machine out of use on which tasks fail that run well elsewhere. A job
+    /// that has run well nowhere may be mistaken itself and says nothing of it yet.
+    pub(super) fn take_out_if_guilty(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get_mut(id).filter(|m| m.draining.is_none()) else { return };
+        let jobs = &self.jobs;
+        let proven = |j: &JobId| jobs.get(j).is_some_and(|r| r.proven);
+        let told: Vec<u32> = m.failed_jobs.iter().filter(|(j, _)| proven(j)).map(|(_, n)| *n).collect();
+        if told.iter().sum::<u32>() >= 2 {
+            info!("{id}: tasks of {} jobs that run elsewhere failed on it; taken out of use", told.len());
+            m.draining = Some("tasks fail on it");
+            self.tell(id);
+        }
+    }
+
     pub(super) fn unbind(&mut self, task: TaskId, id: &MachineId) {
         if let Some(run) = self.jobs.get_mut(&task.job)
             && let Some(b) = run.bound.get_mut(&task.index)
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -15,7 +15,7 @@
         if std::mem::take(&mut self.books.moved) {
             // What was held back for a witness may go now.
             let covered = self.books.covered().unwrap_or(0);
-            for (n, _, at) in self.handouts.values() {
+            for OnItsWay { to: n, covered_by: at, .. } in self.handouts.values() {
                 if *at <= covered
                     && let Some(n) = self.nodes.get_mut(n.0 as usize)
                 {
--- a/crates/core/src/leader/machine.rs
+++ b/crates/core/src/leader/machine.rs
@@ -60,11 +60,14 @@
     /// Its place among those with room.
     pub(super) placed: Option<room::Placed>,
     pub(super) draining: Option<&'static str>,
-    pub(super) failed_jobs: BTreeSet<JobId>,
+    /// Failures since something ran well on it, by job.
+    pub(super) failed_jobs: BTreeMap<JobId, u32>,
     pub(super) failures: u32,
     pub(super) images: BTreeSet<String>,
     pub(super) probed: Option<Micros>,
     pub(super) kept_for: Option<(Rank, Micros)>,
+    /// Room is gathered on it for this job, until then.
+    pub(super) gathers: Option<(JobId, Micros)>,
     pub(super) want_baton: bool,
     pub(super) delete_sent: Option<Micros>,
     /// CPU time that tasks took of it, in thousandths of a CPU times microseconds.
@@ -107,11 +110,12 @@
             idle_since: None,
             placed: None,
             draining: None,
-            failed_jobs: BTreeSet::new(),
+            failed_jobs: BTreeMap::new(),
             failures: 0,
             images: BTreeSet::new(),
             probed: None,
             kept_for: None,
+            gathers: None,
             want_baton: false,
             delete_sent: None,
             busy: 0,
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -29,6 +29,9 @@
                 m.busy += m.used.cpu as u128 * passed.0 as u128;
             }
             self.drain_warned(now);
+            let suspects = self.machines.iter().filter(|(_, m)| !m.failed_jobs.is_empty());
+            let suspects: Vec<MachineId> = suspects.map(|(id, _)| id.clone()).collect();
+            suspects.iter().for_each(|id| self.take_out_if_guilty(id));
             self.watch_zones(now);
             self.return_idle(flavors, now);
             self.tell_waits(now);
@@ -405,7 +408,7 @@
             if r.spec.kind == Kind::Array {
                 running += self.ends_soon(r) as f64;
             }
-            let waiting = r.waiting();
+            let waiting = if r.mistaken() { !r.held_back() as u32 } else { r.waiting() };
             // A job that fails wherever it is gets no more machines; one whose
             // attempts are bounded comes to its end the sooner.
             let hopeless = r.failures > 5 && !r.proven && r.spec.attempts.is_none();
--- a/crates/core/src/leader/messages.rs
+++ b/crates/core/src/leader/messages.rs
@@ -3,6 +3,9 @@
 //! not know of.
 use super::*;
 
+/// A hand-out that had no outcome for so long is sent again.
+const HAND_OUT_AGAIN: Micros = Micros::millis(250);
+
 impl Leader {
     /// Messages that are due.
     pub fn messages(&mut self, now: Micros, lease_ok: bool) -> Vec<(NodeId, Message)> {
@@ -64,8 +67,16 @@
         // Without a confirmed lease nothing is handed out or renewed.
         // Nor is anything that a witness may not know of.
         let covered = self.books.covered().unwrap_or(0);
-        let open = self.handouts.values().filter(|(x, _, at)| *x == to && lease_ok && *at <= covered);
-        let open: Vec<(HandOut, u64)> = open.map(|(_, h, at)| (h.clone(), *at)).collect();
+        // One that may have been lost goes again; not with every update, which comes
+        // many times before the outcome does.
+        let due = |h: &&mut OnItsWay| {
+            h.to == to && h.covered_by <= covered && h.sent.is_none_or(|t| now.since(t) >= HAND_OUT_AGAIN)
+        };
+        let mut open: Vec<(HandOut, u64)> = Vec::new();
+        for h in self.handouts.values_mut().filter(|_| lease_ok).filter(due) {
+            h.sent = Some(now);
+            open.push((h.out.clone(), h.covered_by));
+        }
         if let Some(at) = open.iter().map(|(_, at)| *at).max() {
             self.books.release(at);
         }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -8,6 +8,7 @@
 mod machine;
 mod machines;
 mod messages;
+mod overdue;
 mod records;
 mod room;
 mod run;
@@ -19,7 +20,7 @@
 mod wishes;
 
 pub use machine::{Machine, Stage};
-use run::{Binding, Handed, Run};
+use run::{Binding, Handed, MISTAKEN, Run};
 use wishes::HireStage;
 pub use wishes::{CloudWish, HireRequest, LeaderWrite};
 
@@ -87,6 +88,17 @@
     dirty: bool,
 }
 
+/// A hand-out whose outcome is not known.
+#[derive(Debug)]
+struct OnItsWay {
+    to: NodeId,
+    out: HandOut,
+    /// The change of the books that has to be at the witnesses before it goes.
+    covered_by: u64,
+    /// When it last went.
+    sent: Option<Micros>,
+}
+
 /// What a controller says in a `Sync`.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -167,9 +179,8 @@
     forgotten: u64,
     jobs: BTreeMap<JobId, Run>,
     aborted: BTreeMap<JobId, Micros>,
-    /// Hand-outs whose outcome is not known, and the change of the books that
-    /// has to be at the witnesses before they go.
-    handouts: BTreeMap<Attempt, (NodeId, HandOut, u64)>,
+    /// Hand-outs whose outcome is not known.
+    handouts: BTreeMap<Attempt, OnItsWay>,
     books: Ledgers,
     /// The books of before are waited for.
     wants_books: bool,
--- a/crates/core/src/leader/run.rs
+++ b/crates/core/src/leader/run.rs
@@ -21,6 +21,9 @@
     pub(super) on: BTreeSet<MachineId>,
 }
 
+/// A job of which so many tasks failed, on several machines, and none ran well.
+pub(super) const MISTAKEN: u32 = 3;
+
 /// A job as the leader runs it.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -39,6 +42,8 @@
     pub(super) failures: u32,
     pub(super) failed_on: BTreeSet<MachineId>,
     pub(super) proven: bool,
+    /// Something of it ran.
+    pub(super) begun: bool,
     pub(super) unrecorded_since: Option<Micros>,
     /// Work was stopped for it; until then no more is.
     pub(super) room_until: Micros,
@@ -80,6 +85,7 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             proven: false,
+            begun: !job.done.is_empty(),
             unrecorded_since: None,
             room_until: Micros(0),
             patience: None,
@@ -112,6 +118,16 @@
             }
         }
     }
+    /// Whether it seems to have been submitted with a mistake: it fails wherever it is.
+    /// Then one task at a time is tried, after growing pauses; one that runs well shows
+    /// that the machines were at fault. Bounded attempts are used up as they are.
+    pub(super) fn mistaken(&self) -> bool {
+        !self.proven && self.spec.attempts.is_none() && self.failures > MISTAKEN && self.failed_on.len() > 1
+    }
+    /// Nothing more of it is handed out now.
+    pub(super) fn held_back(&self) -> bool {
+        !self.bound.is_empty() && self.mistaken()
+    }
     /// The next task that waits.
     pub(super) fn peek(&mut self) -> Option<u32> {
         while let Some(i) = self.again.iter().copied().find(|i| !self.unsaved.contains(i)) {
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -19,6 +19,8 @@
 pub(super) struct Waiting {
     ranks: BTreeMap<Rank, BTreeMap<String, Rc<[JobId]>>>,
     least_cpu: BTreeMap<Rank, u64>,
+    /// Those that nothing ran of for very long, the earliest first.
+    pub(super) overdue: Vec<JobId>,
     made: Micros,
     /// When a job may be tried again that is left out for now.
     retry: Option<Micros>,
@@ -40,6 +42,10 @@
 /// served in several passes, so that none takes long.
 const LOOKED_AT: usize = 8_000;
 
+/// Hand-outs of arrays wait while so many have no outcome: each is kept, told and
+/// counted, and an array of 25,000 short tasks would fill a leader's memory with them.
+const ON_THEIR_WAY: usize = 2_000;
+
 /// What a pass has found out about room that lower work would leave.
 #[derive(Debug, Default)]
 pub(super) struct Lendable {
@@ -146,6 +152,7 @@
             return;
         }
         self.settle_rooms(now);
+        self.serve_overdue(now);
         let borrowing = self.ctx.teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0);
         for guaranteed in [true, false].into_iter().filter(|g| borrowing || !g) {
             let mut pass = Pass { guaranteed, lendable: Lendable::default(), now };
@@ -167,11 +174,12 @@
         let mut waiting = Waiting { made: now, unsure: self.unsure(), ..Waiting::default() };
         let mut ranks: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
         let mut ready: Vec<JobId> = Vec::new();
+        let mut overdue: Vec<(u64, JobId)> = Vec::new();
         for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over && !r.held) {
             if run.retry_at > now {
                 let next = waiting.retry.map_or(run.retry_at, |t| t.min(run.retry_at));
                 waiting.retry = Some(next);
-            } else if run.used_up().is_none() && run.peek().is_some() {
+            } else if run.used_up().is_none() && run.peek().is_some() && !run.held_back() {
                 ready.push(*id);
             }
         }
@@ -180,12 +188,18 @@
             if waiting.unsure && self.blocked(run) {
                 continue;
             }
+            if !run.begun && wall_ms > run.submitted_ms + overdue::OVERDUE_MS {
+                overdue.push((run.submitted_ms, id));
+            }
             let (rank, cpu) = (run.spec.rank, run.spec.need.cpu);
             let least = waiting.least_cpu.entry(rank).or_insert(cpu);
             *least = cpu.min(*least);
             let teams = ranks.entry(rank).or_default();
             teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms, slots), id));
         }
+        overdue.sort();
+        // In turn, as those before them get their task.
+        waiting.overdue = overdue.into_iter().map(|(_, id)| id).take(50).collect();
         let sorted = |mut v: Vec<_>| {
             v.sort();
             v.into_iter().map(|(_, id)| id).collect()
@@ -246,7 +260,12 @@
             return false;
         }
         let Some(run) = self.jobs.get(&id) else { return false };
-        if self.over_limit(&run.spec) || pass.guaranteed && !self.within_guarantee(&run.spec) {
+        let crowded = self.handouts.len() >= ON_THEIR_WAY && run.spec.kind == Kind::Array;
+        if crowded
+            || run.held_back()
+            || self.over_limit(&run.spec)
+            || pass.guaranteed && !self.within_guarantee(&run.spec)
+        {
             return false;
         }
         let zones = self.zones_of(run);
@@ -272,7 +291,7 @@
             None if may_preempt => {
                 // Room for all that waits at once; what was stopped needs a
                 // moment to go, and stopping more meanwhile would be waste.
-                let (mut zones, mut left) = (zones, run.waiting());
+                let (mut zones, mut left) = (zones, if run.mistaken() { 1 } else { run.waiting() });
                 while left > 0 {
                     let Some((zone, room)) = self.make_room(id, &zones, false, pass) else { break };
                     *zones.entry(zone).or_default() += room.min(left);
@@ -344,7 +363,7 @@
             self.rooms.put(&hint, m, true);
         }
         let at = self.books.hand_out(task);
-        self.handouts.insert(attempt, (node, out, at));
+        self.handouts.insert(attempt, OnItsWay { to: node, out, covered_by: at, sent: None });
         if let Some(n) = self.nodes.get_mut(node.0 as usize) {
             n.dirty = true;
         }
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -696,3 +696,93 @@
         assert_eq!(rented, want, "{there} machines, {passed} s, {had} spot machines had");
     }
 }
+
+/// Mistaken jobs fail on every machine; one machine fails everybody's tasks.
+#[test]
+fn a_mistaken_job_is_tried_alone_and_blames_no_machine() {
+    let mut b = Bench::new(2);
+    b.confirm("m0", &[]);
+    b.confirm("m1", &[]);
+    for job in [1, 2] {
+        b.job(job, 60 + job, "t", "array", "standard", 20, 1.0);
+    }
+    // All that runs of them fails on both machines, again and again.
+    let mut most = Vec::new();
+    for _ in 0..120 {
+        b.tick(500);
+        let mut ends: BTreeMap<MachineId, Vec<(TaskId, Attempt, TaskState)>> = BTreeMap::new();
+        let mut outcomes = Vec::new();
+        for OnItsWay { out: h, .. } in b.leader.handouts.values() {
+            outcomes.push(Outcome { attempt: h.attempt, machine: Some(h.hint.clone()) });
+            ends.entry(h.hint.clone()).or_default().push((h.task, h.attempt, TaskState::Failed));
+        }
+        most.push(outcomes.len());
+        b.sync(A, &[], &outcomes.clone());
+        b.sync(B, &[], &outcomes);
+        for id in ["m0", "m1"] {
+            let failed = ends.remove(&m(id)).unwrap_or_default();
+            b.now = b.now + Micros(1);
+            b.confirm(id, &failed);
+            b.now = b.now + Micros(1);
+            b.confirm(id, &[]);
+        }
+    }
+    assert!(most[0] > 2, "{most:?}");
+    // In the last half of the minute two at a time at most, and seldom.
+    assert!(most[60..].iter().all(|n| *n <= 2), "{most:?}");
+    assert!(most[60..].iter().sum::<usize>() <= 8, "{most:?}");
+    for id in ["m0", "m1"] {
+        assert_eq!(b.leader.machines[&m(id)].draining, None, "{id}");
+    }
+    // A job that runs well elsewhere, and fails on m0: that machine is at fault.
+    b.job(3, 90, "t", "array", "standard", 1, 1.0);
+    if let Some(run) = b.leader.jobs.get_mut(&JobId(3)) {
+        run.proven = true;
+    }
+    for _ in 0..2 {
+        let t = task(3, 0);
+        let token = b.token("m0");
+        for state in [TaskState::Running, TaskState::Failed] {
+            b.now = b.now + Micros(1);
+            let s = b.state("m0", token, &[(t, Attempt(token.0 + 1), state)]);
+            b.sync(A, &[s], &[]);
+        }
+    }
+    assert!(b.leader.machines[&m("m0")].draining.is_some());
+}
+
+/// Small tasks of a higher priority come without end, and take what becomes free: a job
+/// whose task needs a whole machine would never begin.
+#[test]
+fn an_overdue_job_begins_where_small_tasks_never_end() {
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    b.job(1, 61, "t", "array", "high", 5_000, 1.0);
+    b.job(2, 62, "owner", "array", "idle", 3, 8.0);
+    let (mut on, mut began) = (Vec::<(TaskId, Attempt, u32)>::new(), None);
+    let mut after = 0;
+    for half in 0..400u32 {
+        b.tick(500);
+        let mut outcomes = Vec::new();
+        for OnItsWay { out: h, .. } in b.leader.handouts.values() {
+            if h.task.job == JobId(2) {
+                began.get_or_insert(half / 2);
+            }
+            outcomes.push(Outcome { attempt: h.attempt, machine: Some(h.hint.clone()) });
+            on.push((h.task, h.attempt, half + 20 + h.task.index % 7));
+        }
+        b.sync(A, &[], &outcomes.clone());
+        b.sync(B, &[], &outcomes);
+        let state = |end: u32| if end <= half { TaskState::Done } else { TaskState::Running };
+        let told: Vec<_> = on.iter().map(|(t, a, end)| (*t, *a, state(*end))).collect();
+        b.now = b.now + Micros(1);
+        b.confirm("m0", &told);
+        on.retain(|(.., end)| *end > half);
+        after += (began.is_some() && on.iter().any(|(t, ..)| t.job == JobId(1))) as u32;
+    }
+    let began = began.expect("it never began");
+    assert!((100..130).contains(&began), "it began after {began} s");
+    // One task of it, and the others go on.
+    assert!(after > 100, "{after}");
+    assert_eq!(b.leader.machines[&m("m0")].gathers, None);
+}
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -45,7 +45,7 @@
     next_request: Cell<u64>,
     executor: Rc<LocalExecutor<'static>>,
     client: client::Client,
-    peers: Vec<Option<Sender<Vec<u8>>>>,
+    peers: Vec<Option<peers::Outgoing>>,
     incarnation: u64,
     me: NodeId,
 }
@@ -105,18 +105,24 @@
     }
 
     fn send(&self, to: NodeId, message: Message) {
-        let Some(Some(tx)) = self.peers.get(to.0 as usize) else { return };
+        let Some(Some(out)) = self.peers.get(to.0 as usize) else { return };
         match gorseshore_core::peer::encode(&Envelope {
             from: self.me,
             incarnation: self.incarnation,
             message,
         }) {
-            // A full queue means a peer out of reach; everything is sent again.
-            Ok(frame) => drop(tx.try_send(frame)),
+            Ok(frame) => out.put(frame),
             Err(e) => error!("message to controller {} not sent: {e}", to.0),
         }
     }
 
+    /// A frame for a peer left its queue.
+    fn taken(&self, to: NodeId, frame: &[u8]) {
+        if let Some(Some(out)) = self.peers.get(to.0 as usize) {
+            out.taken(frame);
+        }
+    }
+
     /// A request from a connection; the answer comes on the channel.
     pub fn request(
         self: &Rc<Self>,
@@ -222,7 +228,7 @@
                 let addr = platform.peers.iter().find(|p| p.host_name == *name)?.peer_addr.clone();
                 let (tx, rx) = bounded(64);
                 receivers.push((addr, name.clone(), rx));
-                Some(tx)
+                Some(peers::Outgoing::new(tx))
             })
             .collect();
         let shell = Rc::new(Shell {
--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -6,21 +6,55 @@
 use gorseshore_core::peer;
 use gorseshore_protocol::ids::NodeId;
 use log::{debug, warn};
-use smol::channel::Receiver;
+use smol::channel::{Receiver, Sender};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Bytes of frames that may wait for one peer. Every frame stands for a whole state or
+/// is sent again, so what comes beyond is left out; a longer frame goes alone.
+const MOST_WAITING: usize = 1 << 20;
+
+/// Frames that wait for a peer. Invariant: `bytes` is the length of those in the queue.
+pub struct Outgoing {
+    queue: Sender<Vec<u8>>,
+    bytes: Cell<usize>,
+}
+
+impl Outgoing {
+    /// Nothing waits.
+    pub fn new(queue: Sender<Vec<u8>>) -> Self {
+        Outgoing { queue, bytes: Cell::new(0) }
+    }
+
+    /// Puts a frame into the queue, or leaves it out where too much waits: a peer that
+    /// doesn't keep up must not fill this process's memory.
+    pub fn put(&self, frame: Vec<u8>) {
+        let (waiting, more) = (self.bytes.get(), frame.len());
+        if (waiting == 0 || waiting + more <= MOST_WAITING) && self.queue.try_send(frame).is_ok() {
+            self.bytes.set(waiting + more);
+        }
+    }
+
+    /// A frame left the queue.
+    pub fn taken(&self, frame: &[u8]) {
+        self.bytes.set(self.bytes.get().saturating_sub(frame.len()));
+    }
+}
+
 /// Sends the queue's frames to a peer, for ever.
 pub async fn dial(shell: Rc<Shell>, node: NodeId, addr: String, queue: Receiver<Vec<u8>>) {
     let Ok(sock) = addr.parse::<SocketAddr>() else { return };
     loop {
         let stream = within(Duration::from_millis(1000), TcpStream::connect(sock)).await;
         // What queued up meanwhile is out of date.
-        while queue.try_recv().is_ok() {}
+        while let Ok(frame) = queue.try_recv() {
+            shell.taken(node, &frame);
+        }
         if let Some(Err(e)) = &stream
             && e.kind() == std::io::ErrorKind::ConnectionRefused
         {
@@ -30,6 +64,7 @@
             let _ = s.set_nodelay(true);
             debug!("connected to {addr}");
             while let Ok(frame) = queue.recv().await {
+                shell.taken(node, &frame);
                 if !matches!(within(Duration::from_secs(2), s.write_all(&frame)).await, Some(Ok(()))) {
                     break;
                 }
@@ -79,3 +114,36 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_waits_for_a_peer_is_bounded_in_bytes() {
+        let (tx, rx) = smol::channel::bounded(64);
+        let out = Outgoing::new(tx);
+        // (frame put, or 0 to take one out; frames that wait after it)
+        let m = MOST_WAITING;
+        let steps = [
+            (3 * m, 1),
+            (1, 1),
+            (0, 0),
+            (m / 2, 1),
+            (m / 2, 2),
+            (1, 2),
+            (0, 1),
+            (1, 2),
+            (0, 1),
+            (0, 0),
+            (m, 1),
+        ];
+        for (i, (len, waiting)) in steps.into_iter().enumerate() {
+            match len {
+                0 => out.taken(&rx.try_recv().unwrap()),
+                n => out.put(vec![0; n]),
+            }
+            assert_eq!(rx.len(), waiting, "step {i}");
+        }
+    }
+}
