--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -162,7 +162,6 @@
                     .entry(task.job)
                     .or_insert_with(|| Run::new(job, spec.clone(), &self.ctx.objectives));
                 run.proven |= proven;
-                run.begun |= *state == TaskState::Running;
                 let sums = &mut self.sums;
                 let b = run.bound.entry(task.index).or_insert_with(|| {
                     sums.bound(&spec);
--- a/crates/core/src/leader/overdue.rs
+++ b/crates/core/src/leader/overdue.rs
@@ -8,12 +8,23 @@
 
 /// Nothing of a job ran for so long, in milliseconds.
 pub(super) const OVERDUE_MS: u64 = 100_000;
+/// A start that is undone sooner was none.
+const BEGUN: Micros = Micros::secs(30);
 /// A machine gathers room for so long at most before another one is chosen.
 const GATHER: Micros = Micros::secs(60);
 /// One machine in so many may gather room, and always one.
 const GATHERING: usize = 64;
 
 impl Leader {
+    /// Whether a task of the job has run for long enough to count.
+    pub(super) fn has_begun(&self, id: JobId, run: &Run, now: Micros) -> bool {
+        let started = |index: u32, on: &MachineId| {
+            let at = self.machines.get(on).and_then(|m| m.started.get(&TaskId { job: id, index }));
+            at.is_some_and(|t| now.since(*t) > BEGUN)
+        };
+        run.bound.iter().any(|(i, b)| b.on.iter().any(|on| started(*i, on)))
+    }
+
     /// Hands out one task of each overdue job for which there is room.
     pub(super) fn serve_overdue(&mut self, now: Micros) {
         if self.waiting.overdue.is_empty() {
--- a/crates/core/src/leader/run.rs
+++ b/crates/core/src/leader/run.rs
@@ -42,7 +42,7 @@
     pub(super) failures: u32,
     pub(super) failed_on: BTreeSet<MachineId>,
     pub(super) proven: bool,
-    /// Something of it ran.
+    /// Something of it completed, or ran for `overdue::BEGUN`.
     pub(super) begun: bool,
     pub(super) unrecorded_since: Option<Micros>,
     /// Work was stopped for it; until then no more is.
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -174,7 +174,7 @@
         let mut waiting = Waiting { made: now, unsure: self.unsure(), ..Waiting::default() };
         let mut ranks: BTreeMap<Rank, BTreeMap<String, Vec<((bool, u64, u64), JobId)>>> = BTreeMap::new();
         let mut ready: Vec<JobId> = Vec::new();
-        let mut overdue: Vec<(u64, JobId)> = Vec::new();
+        let (mut overdue, mut begun): (Vec<(u64, JobId)>, Vec<JobId>) = Default::default();
         for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over && !r.held) {
             if run.retry_at > now {
                 let next = waiting.retry.map_or(run.retry_at, |t| t.min(run.retry_at));
@@ -189,7 +189,10 @@
                 continue;
             }
             if !run.begun && wall_ms > run.submitted_ms + overdue::OVERDUE_MS {
-                overdue.push((run.submitted_ms, id));
+                match self.has_begun(id, run, now) {
+                    true => begun.push(id),
+                    false => overdue.push((run.submitted_ms, id)),
+                }
             }
             let (rank, cpu) = (run.spec.rank, run.spec.need.cpu);
             let least = waiting.least_cpu.entry(rank).or_insert(cpu);
@@ -197,6 +200,11 @@
             let teams = ranks.entry(rank).or_default();
             teams.entry(run.spec.team.clone()).or_default().push((run.order(wall_ms, slots), id));
         }
+        for id in begun {
+            if let Some(run) = self.jobs.get_mut(&id) {
+                run.begun = true;
+            }
+        }
         overdue.sort();
         // In turn, as those before them get their task.
         waiting.overdue = overdue.into_iter().map(|(_, id)| id).take(50).collect();
@@ -412,17 +420,23 @@
                 continue;
             }
             let mut lendable = borrowed.clone();
-            let mut victims: Vec<(u64, TaskId, Attempt)> = m
+            // The first task of a job that waited too long goes last.
+            let first = |t: &TaskId| {
+                self.jobs
+                    .get(&t.job)
+                    .is_some_and(|r| !r.begun && r.spec.kind == Kind::Array && r.bound.len() == 1)
+            };
+            let mut victims: Vec<(bool, u64, TaskId, Attempt)> = m
                 .tasks
                 .iter()
                 .filter(|(_, (_, s))| *s != TaskState::Starting)
-                .map(|(t, (a, _))| (m.started.get(t).map_or(0, |x| now.since(*x).0), *t, *a))
+                .map(|(t, (a, _))| (first(t), m.started.get(t).map_or(0, |x| now.since(*x).0), *t, *a))
                 .collect();
             // The least work lost: the last ones started.
             victims.sort();
             let mut free = m.free();
             let (mut lost, mut chosen) = (0, Vec::new());
-            for (ran, t, a) in victims {
+            for (_, ran, t, a) in victims {
                 if free.fits(&spec.need) {
                     break;
                 }
