--- a/crates/core/src/leader/deaf.rs
+++ b/crates/core/src/leader/deaf.rs
@@ -45,7 +45,8 @@
         if obeys {
             self.shown(at, now);
         } else {
-            self.doubted.get_or_insert(now);
+            // Since it came: what comes between that and its being told ends the doubt.
+            self.doubted.get_or_insert(at);
         }
     }
 
