--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -1,6 +1,8 @@
 //! A controller's own part: the machines of its block, what it started on
 //! them, and what it tells the leader.
 mod block;
+#[cfg(test)]
+mod late;
 mod orders;
 mod placing;
 mod view;
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -236,8 +236,9 @@
             let base = last.max(self.began).max(spoke).max(m.moved_at).max(opened);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
-            let asked_after = silent > Micros::millis(3200) || m.hearing.doubted_for(deaf::ASKED_WHEN, now);
-            if asked_after && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500)) {
+            let lost =
+                silent > Micros::millis(3200) && m.probed.is_none_or(|t| now.since(t) > Micros::millis(1500));
+            if lost || m.hearing.ask_due(now) {
                 probes.push((m.probed, id.clone()));
             }
             let open = base + overdue;
@@ -271,7 +272,7 @@
         for (_, id) in probes {
             let Some(m) = self.machines.get_mut(&id) else { continue };
             m.probed = Some(now);
-            m.hearing.ask();
+            m.hearing.ask(now);
             let (holder, addr) = (m.holder, m.addr.clone());
             for n in 0..self.nodes.len() {
                 let n = NodeId(n as u8);
--- a/crates/core/src/leader/deaf.rs
+++ b/crates/core/src/leader/deaf.rs
@@ -10,7 +10,7 @@
 const EPISODE: Micros = Micros::secs(8);
 const FIRST_PAUSE: u64 = 2;
 /// Others ask a machine after so much doubt; so often in vain, and it hears nothing.
-pub(super) const ASKED_WHEN: Micros = Micros::secs(2);
+const ASKED_WHEN: Micros = Micros::secs(2);
 const IN_VAIN: u32 = 3;
 /// A machine of which nothing came for longer is silent, which is judged elsewhere.
 const ALIVE: Micros = Micros::secs(12);
@@ -29,6 +29,7 @@
     /// Since when it is in doubt, and how often it was asked since.
     doubted: Option<Micros>,
     asked: u32,
+    asked_at: Micros,
     episodes: u32,
     /// Nothing is handed to it before.
     pub trusted_at: Micros,
@@ -36,7 +37,15 @@
 
 impl Hearing {
     pub(super) fn new(now: Micros) -> Self {
-        Hearing { obeys: true, obeyed: now, doubted: None, asked: 0, episodes: 0, trusted_at: Micros(0) }
+        Hearing {
+            obeys: true,
+            obeyed: now,
+            doubted: None,
+            asked: 0,
+            asked_at: Micros(0),
+            episodes: 0,
+            trusted_at: Micros(0),
+        }
     }
 
     /// Its holder tells of the report that came at `at`.
@@ -71,9 +80,17 @@
         }
     }
 
+    /// Whether others should ask it for this doubt: the last question had its time.
+    pub(super) fn ask_due(&self, now: Micros) -> bool {
+        self.doubted_for(ASKED_WHEN, now) && now.since(self.asked_at) > ASK_TIMEOUT
+    }
+
     /// It is asked by others.
-    pub(super) fn ask(&mut self) {
-        self.asked += self.doubted.is_some() as u32;
+    pub(super) fn ask(&mut self, now: Micros) {
+        if self.ask_due(now) {
+            self.asked += 1;
+            self.asked_at = now;
+        }
     }
 
     /// Whether it has been in doubt for so long.
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -12,6 +12,9 @@
 const SOLD_OUT: Micros = Micros::secs(60);
 /// Waiting tasks for each spot machine that was had meanwhile.
 const FEW: usize = 4;
+/// While spot machines are more than one in so many of the CPUs of ordinary ones, work
+/// that waits for them gets its turn there: a small deployment has few at any time.
+const SPOT_THERE: u64 = 10;
 
 impl Leader {
     /// Decides what to rent and return; what to ask the cloud now.
@@ -483,6 +486,13 @@
         if thirsty <= had * FEW || now.since(self.began) < SOLD_OUT {
             return 0;
         }
+        let cpus = |spot| {
+            let there = self.machines.values().filter(|m| m.spot == spot && m.stage == Stage::Up);
+            there.map(|m| m.size.cpu).sum::<u64>()
+        };
+        if cpus(true) * SPOT_THERE > cpus(false) {
+            return 0;
+        }
         let ordinary = || self.machines.values().filter(|m| !m.spot && m.stage != Stage::Deleting);
         let of_array = |t: &TaskId| self.jobs.get(&t.job).is_some_and(|r| r.spec.kind == Kind::Array);
         let given = ordinary()
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -675,9 +675,21 @@
     // (ordinary machines there, seconds since the term began, spot machines had
     // ten seconds before, rented: ordinary ones, one of them the room that is
     // kept for replicas where there are any)
-    let cases = [(6, 100, 0, 3 + 1), (6, 30, 0, 1), (6, 100, 40, 1), (2, 100, 0, 1 + 1), (0, 100, 0, 0)];
-    for (there, passed, had, want) in cases {
+    // In the last one of those there is a spot machine, so that some can be had: no more
+    // than room for replicas on two.
+    let cases = [
+        (6, 100, 0, 3 + 1, false),
+        (6, 30, 0, 1, false),
+        (6, 100, 40, 1, false),
+        (2, 100, 0, 1 + 1, false),
+        (0, 100, 0, 0, false),
+        (6, 100, 0, 2, true),
+    ];
+    for (there, passed, had, want, spot) in cases {
         let mut b = Bench::new(there);
+        if let Some(m) = b.leader.machines.get_mut(&m("m0")).filter(|_| spot) {
+            m.spot = true;
+        }
         for i in 0..there {
             b.confirm(&format!("m{i}"), &[]);
             b.job(100 + i as u64, 60, "t", "standing", "prod", 1, 8.0);
@@ -693,7 +705,7 @@
         b.leader.refused.insert(("big".into(), "east".into(), true), at);
         b.leader.fleet(&[flavor(Some(0.3))], at);
         let rented: u32 = b.leader.hires.values().filter(|(r, ..)| !r.spot).map(|(r, ..)| r.count).sum();
-        assert_eq!(rented, want, "{there} machines, {passed} s, {had} spot machines had");
+        assert_eq!(rented, want, "{there} machines, {passed} s, {had} spot machines had, some: {spot}");
     }
 }
 
@@ -786,3 +798,93 @@
     assert!(after > 100, "{after}");
     assert_eq!(b.leader.machines[&m("m0")].gathers, None);
 }
+
+/// Copies of reports come late, to anybody; a new leader has nothing to compare with.
+#[test]
+fn copies_of_reports_prove_nothing() {
+    let sizes = Sizes::from([("big".into(), Resources::have(8.0, 0.0, 32.0))]);
+    let rec = |build: &str| MachineRecord {
+        build: build.into(),
+        zone: "east".into(),
+        spot: false,
+        addr: "a:1".into(),
+    };
+    let no = |tally| ReportNo { shift: 1, tally };
+    // (machine, its kind, number of the report, whether it was asked; whether it counts
+    // as seen by B, whether it is on the books then)
+    let cases = [
+        ("m0", "big", no(5), false, false, true),
+        ("m0", "big", no(1), true, false, true),
+        ("m0", "big", ReportNo { shift: 1, tally: u64::MAX }, false, true, true),
+        ("m0", "small", ReportNo { shift: 2, tally: 1 }, false, false, true),
+        ("m9", "big", no(7), false, true, false),
+        ("m9", "big", no(7), true, true, true),
+    ];
+    for (i, (id, build, report, asked, counts, there)) in cases.into_iter().enumerate() {
+        let mut b = Bench::new(1);
+        b.confirm("m0", &[]);
+        let s = Sighting { id: m(id), report, asked };
+        b.leader.seen(B, &s, &rec(build), &sizes, b.now);
+        let seen = b.leader.last_seen.get(&m(id)).is_some_and(|(n, _)| *n == B);
+        assert_eq!((seen, b.leader.machines.contains_key(&m(id))), (counts, there), "case {i}");
+        if id == "m9" && !asked {
+            // It is asked itself, not taken at its word.
+            assert_eq!(b.leader.probes, [(B, m("m9"), "a:1".to_owned())]);
+        }
+    }
+    // A holder's word that it was heard counts once for each report.
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    let heard = b.leader.machines[&m("m0")].heard;
+    let mut s = b.state("m0", b.token("m0"), &[]);
+    s.last = b.leader.machines[&m("m0")].newest;
+    b.now = b.now + Micros::secs(2);
+    b.sync(B, &[s], &[]);
+    assert_eq!(b.leader.machines[&m("m0")].heard, heard, "a copy at another controller");
+}
+
+/// Machines that report and hear nothing: those with tasks go before their leases end,
+/// a few at a time; where most of a controller's are so, it is its way out.
+#[test]
+fn what_hears_nothing_is_deleted_within_a_budget() {
+    // (machines, those that hear nothing, with tasks; deleted after 10 s and after 30 s)
+    let cases = [(6, 1, true, 1, 1), (6, 1, false, 0, 1), (8, 3, true, 2, 3), (10, 9, true, 0, 2)];
+    for (machines, deaf, busy, early, late) in cases {
+        let mut b = Bench::new(machines);
+        let names: Vec<String> = (0..machines).map(|i| format!("m{i}")).collect();
+        names.iter().for_each(|id| b.confirm(id, &[]));
+        if busy {
+            for i in 0..machines {
+                b.job(100 + i as u64, 60, "t", "array", "standard", 1, 8.0);
+            }
+            b.tick(30);
+            let placed = |h: &OnItsWay| Outcome { attempt: h.out.attempt, machine: Some(h.out.hint.clone()) };
+            let outcomes: Vec<Outcome> = b.leader.handouts.values().map(placed).collect();
+            b.sync(A, &[], &outcomes);
+            b.sync(B, &[], &outcomes);
+        }
+        let mut gone = Vec::new();
+        for half in 1..=60 {
+            b.tick(500);
+            let holder = b.leader.machines[&m("m0")].holder.unwrap();
+            for (i, id) in names.iter().enumerate() {
+                let mut s = b.state(id, b.token(id), &[]);
+                s.tasks = b.leader.machines[&m(id)]
+                    .bound
+                    .iter()
+                    .map(|t| Held { task: *t, attempt: b.attempt(*t).unwrap(), state: TaskState::Running })
+                    .collect();
+                s.obeys = i >= deaf;
+                let from = b.leader.machines[&m(id)].holder.unwrap_or(holder);
+                b.sync(from, &[s], &[]);
+            }
+            b.sync(A, &[], &[]);
+            b.sync(B, &[], &[]);
+            let deleting = |id: &&String| b.leader.machines[&m(id)].stage == Stage::Deleting;
+            if half == 20 || half == 60 {
+                gone.push(names.iter().filter(deleting).count());
+            }
+        }
+        assert_eq!(gone, [early, late], "{deaf} of {machines}, busy {busy}");
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -220,6 +220,11 @@
         self.leadership.leader.is_some() && self.leadership.election.may_lead(self.now)
     }
 
+    /// Whether users are served here; `GET /ready` says the same.
+    pub fn serves_users(&self) -> bool {
+        self.ready()
+    }
+
     /// Whether this node is ready for users and holds a block that it may start
     /// tasks on.
     pub fn in_service(&self) -> bool {
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Whether users are served here, or better by others.
+    fn serves_users(&self) -> bool {
+        self.node.borrow().serves_users()
+    }
+
     /// A frame for a peer left its queue.
     fn taken(&self, to: NodeId, frame: &[u8]) {
         if let Some(Some(out)) = self.peers.get(to.0 as usize) {
--- a/crates/shell/src/server.rs
+++ b/crates/shell/src/server.rs
@@ -225,6 +225,9 @@
             .await;
         match answered {
             Some(Reply::Whole(a)) => {
+                // A controller that can't serve users lets them go to others, which the
+                // load balancer names only for a new connection.
+                let keep = keep && !(a.status == 503 && who != Who::Worker && !shell.serves_users());
                 let bytes = http::answer_with(a.status, &a.headers, &a.body, keep);
                 if !matches!(within(SLOW, stream.write_all(&bytes)).await, Some(Ok(()))) || !keep {
                     return;
