A controller out of touch sends on whoever others reach, and new workers

Cause: a worker that came to a controller alone without its machine being held there was kept alive by it, also once others had reached it, and a new one stayed there unknown to all. Change: sent on if it has a higher token than when it was kept alive, or no tasks; back with the same token it is kept alive.

--- a/crates/core/src/node/held_check_ins.rs
+++ b/crates/core/src/node/held_check_ins.rs
@@ -14,6 +14,8 @@
     pub strangers: BTreeMap<MachineId, (Micros, ReportNo, bool)>,
     /// Machines whose reports contradict their records, and the log said so.
     pub apart: BTreeSet<MachineId>,
+    /// The token with which workers of others were kept alive here.
+    pub kept: BTreeMap<MachineId, u64>,
     /// The newest report of each machine of others.
     newest: BTreeMap<MachineId, ReportNo>,
     /// Workers that were sent to the holder of their machine, when.
@@ -25,6 +27,14 @@
 const REMEMBERED: usize = 20_000;
 
 impl HeldCheckIns {
+    /// A worker of others was kept alive here with the token that it showed.
+    pub fn kept_alive(&mut self, machine: MachineId, baton: u64) {
+        if self.kept.len() >= REMEMBERED {
+            self.kept.clear();
+        }
+        self.kept.insert(machine, baton);
+    }
+
     /// Whether a report is newer than all of this machine that came here: copies of
     /// reports move nothing and are held for nothing.
     pub fn is_news(&mut self, machine: &MachineId, report: ReportNo) -> bool {
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -31,13 +31,20 @@
             }
             reply @ (CheckinReply::Elsewhere(to) | CheckinReply::Lost(to)) => {
                 self.tell_seen(&machine, MachineRecord::of(&r), r.number(), false);
-                let lost = matches!(reply, CheckinReply::Lost(_));
+                // Others reach it if it has a token from them, here or since it was
+                // kept alive here; one without tasks loses nothing on its way to them.
+                let kept = self.held_check_ins.kept.get(&machine).copied();
+                let lost = matches!(reply, CheckinReply::Lost(_))
+                    || kept.is_some_and(|b| r.baton > b)
+                    || r.pieces.is_empty();
                 match self.holder_to_name(&machine, to) {
                     Some(n) => self.send_elsewhere(id, Some(n)),
-                    // Somebody reached the worker, and this node reaches nobody: they can
-                    // serve it and this one can't. Whoever comes back is kept alive.
+                    // This node reaches nobody and can't serve it. One with tasks that
+                    // nobody seems to reach is kept alive: all may be as cut off.
                     None if lost && self.out_of_touch() => {
-                        info!("{machine}: sent on, others reach it and this controller doesn't");
+                        debug!("{machine}: sent on, this controller can't serve it");
+                        // Back with the same token: they couldn't either.
+                        self.held_check_ins.kept_alive(machine, r.baton);
                         self.send_elsewhere(id, None);
                     }
                     // A grant may come in a moment: the answer waits for it.
@@ -76,6 +83,7 @@
     fn keep_alive(&mut self, id: RequestId, r: &Report) {
         let tasks = read_tasks(r).unwrap_or_default();
         let orders = Controller::stops_for_stranger(&tasks, &self.mirror.ledger);
+        self.held_check_ins.kept_alive(MachineId::from(&*r.host), r.baton);
         let body = serde_json::to_vec(&CheckinAnswer { baton: r.baton, orders }).unwrap_or_default();
         self.out.answer(id, 200, body);
     }
--- a/tests/world/oncall.rs
+++ b/tests/world/oncall.rs
@@ -397,7 +397,17 @@
             for n in &alone {
                 w.oncall.alone_until[*n] = w.now + length * S;
             }
-            let missing = watch(&mut w, 150);
+            let mut missing = watch(&mut w, 60);
+            // Its workers are with others by then: here, new ones too.
+            let there = w.machines.values().filter(|m| w.now > m.up_at + 12 * S);
+            let there =
+                there.filter(|m| alone.contains(&m.report_to) && w.oncall.alone_until[m.report_to] > w.now);
+            let stay: Vec<(&str, usize)> = there.map(|m| (m.name.as_str(), m.tasks.len())).collect();
+            assert!(
+                stay.is_empty(),
+                "seed {seed}, {nodes} controllers, {alone:?} alone: {stay:?} stay with it"
+            );
+            missing.extend(watch(&mut w, 90));
             let seen = format!("seed {seed}, {nodes} controllers, {alone:?} alone for {length} s");
             assert!(w.broken.is_empty(), "{seen}: {:?}", w.broken);
             assert!(w.oncall.deleted.is_empty(), "{seen}: {:?}", w.oncall.deleted);
