--- a/tests/world/blink.rs
+++ b/tests/world/blink.rs
@@ -66,6 +66,8 @@
         }
         let pause = self.rng.u64(200 * MS..5 * S);
         self.at(pause, Event::Trouble);
+        // Late copies of reports and of users' requests follow, to whatever process.
+        self.oncall.copies = 4;
         let (kind, n) = (self.rng.u32(0..10), self.rng.u32(0..2) == 0);
         let n = self.some_node(n);
         match kind {
--- a/tests/world/oncall.rs
+++ b/tests/world/oncall.rs
@@ -31,8 +31,10 @@
     /// Machines that no answer and no command reaches: until when, and when they
     /// sent reports since it began.
     deaf: BTreeMap<String, (u64, Vec<u64>)>,
-    /// One report in so many is copied; 0 for none.
-    copies: u32,
+    /// One report or request in so many is copied; 0 for none.
+    pub copies: u32,
+    /// Planted: no question about this job is answered.
+    ignored: Option<usize>,
     /// When the last trouble ends.
     over_at: u64,
     /// Starts sent to deaf machines: those seen, and the late ones.
@@ -51,6 +53,7 @@
             mute_until: vec![0; nodes],
             deaf: BTreeMap::new(),
             copies: 0,
+            ignored: None,
             over_at: 0,
             sent: BTreeSet::new(),
             work_for_deaf: Vec::new(),
@@ -86,7 +89,13 @@
         if !self.size.oncall {
             return false;
         }
-        let Some(Asker::Worker(name, _)) = self.asked.get(&id) else { return false };
+        let asker = self.asked.get(&id);
+        if let Some(Asker::Poll(j) | Asker::Submit(j) | Asker::Abort(j)) = asker
+            && self.oncall.ignored == Some(*j)
+        {
+            return true;
+        }
+        let Some(Asker::Worker(name, _)) = asker else { return false };
         let name = name.clone();
         if status == 200
             && let Ok(a) = serde_json::from_slice::<CheckinAnswer>(body)
@@ -202,7 +211,7 @@
         let length = [5 * S, 30 * S, 60 * S][self.rng.usize(0..3)];
         let until = self.now + length;
         let names: Vec<String> = self.machines.keys().cloned().collect();
-        let kind = self.rng.u32(0..10);
+        let kind = self.rng.u32(0..11);
         if std::env::var("WORLD_TRACE").is_ok() {
             eprintln!("{:.3} on-call {kind} node {n} for {length}", self.now as f64 / 1e6);
         }
@@ -227,6 +236,14 @@
                 self.oncall.alone_until[n] = until;
                 self.oncall.alone_until[other] = until;
             }
+            // Machines stand still for a moment, and go on.
+            8 => {
+                let now = self.now;
+                let blink = self.rng.u64(50 * MS..900 * MS);
+                for m in self.machines.values_mut().filter(|m| m.up_at < now) {
+                    m.hung_until = m.hung_until.max(now + blink);
+                }
+            }
             // Its process ends beside, at whatever step.
             7 => {
                 self.oncall.alone_until[n] = until;
@@ -437,3 +454,25 @@
         assert_eq!(late, 0, "{seen}: missing each second after a death {missing:?}");
     }
 }
+
+/// What the checkers are there for, planted.
+#[test]
+fn who_is_forgotten_or_not_served_is_noticed() {
+    let mut w = settled(1, 3);
+    let j = w.jobs.iter().position(|j| j.accepted && !j.service && j.abort_at == u64::MAX).unwrap();
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+    w.oncall.ignored = Some(j);
+    watch(&mut w, 90);
+    assert!(w.broken.iter().any(|b| b.contains(&format!("about job {j}"))), "{:?}", w.broken);
+    let mut w = settled(1, 3);
+    w.run(ONCALL.ends);
+    assert_eq!(w.unserved(), Vec::<String>::new());
+    let accepted: Vec<usize> = (0..w.jobs.len()).filter(|j| w.jobs[*j].accepted).collect();
+    let largest = accepted.iter().copied().max_by_key(|j| w.jobs[*j].tasks).unwrap();
+    let (job, now) = (&mut w.jobs[largest], w.now);
+    job.abort_asked = false;
+    job.aborted_at = None;
+    job.team = "free".into();
+    job.began_at = Some(job.accepted_at + LARGEST_BEGIN + S);
+    assert!(!w.unserved().is_empty(), "the largest began late, at {now}");
+}
