--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -888,3 +888,21 @@
         assert_eq!(gone, [early, late], "{deaf} of {machines}, busy {busy}");
     }
 }
+
+/// A leader that stood still has a doubt from before, and all that was said meanwhile
+/// comes at once: nobody had a chance to answer it.
+#[test]
+fn a_doubt_from_before_a_freeze_dooms_nobody() {
+    let mut b = Bench::new(1);
+    b.confirm("m0", &[]);
+    let mut s = b.state("m0", b.token("m0"), &[]);
+    s.obeys = false;
+    s.last.tally += 1;
+    b.sync(A, &[s.clone()], &[]);
+    b.now = b.now + Micros::secs(30);
+    s.last.tally += 1;
+    b.sync(A, &[s], &[]);
+    b.sync(B, &[], &[]);
+    b.tick(100);
+    assert_eq!(b.leader.machines[&m("m0")].stage, Stage::Up);
+}
