Read once more: one reading of seeds and of the log, one answer to what may start and what gathers

Six tests of the worlds read their seeds from the environment in the same words, the on-call one among them; a team's weight, what a mistaken job may start and whether a machine gathers room stood two or three times.

--- a/crates/core/src/leader/machine.rs
+++ b/crates/core/src/leader/machine.rs
@@ -167,6 +167,10 @@
     pub(super) fn in_reach(&self, contact: &[bool]) -> bool {
         self.usable() && self.holder.is_some_and(|h| contact.get(h.0 as usize) == Some(&true))
     }
+    /// The job that room is gathered for here.
+    pub(super) fn gathers_for(&self, now: Micros) -> Option<JobId> {
+        self.gathers.filter(|(_, until)| now < *until).map(|(job, _)| job)
+    }
     pub(super) fn empty(&self) -> bool {
         self.tasks.is_empty() && self.reserved.is_empty()
     }
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -411,7 +411,7 @@
             if r.spec.kind == Kind::Array {
                 running += self.ends_soon(r) as f64;
             }
-            let waiting = if r.mistaken() { !r.held_back() as u32 } else { r.waiting() };
+            let waiting = r.may_start();
             // A job that fails wherever it is gets no more machines; one whose
             // attempts are bounded comes to its end the sooner.
             let hopeless = r.failures > 5 && !r.proven && r.spec.attempts.is_none();
--- a/crates/core/src/leader/overdue.rs
+++ b/crates/core/src/leader/overdue.rs
@@ -31,8 +31,7 @@
             return;
         }
         let overdue = std::mem::take(&mut self.waiting.overdue);
-        let gathering = |m: &&Machine| m.gathers.is_some_and(|(_, until)| now < until);
-        let there = self.machines.values().filter(gathering).count();
+        let there = self.machines.values().filter(|m| m.gathers_for(now).is_some()).count();
         let mut left = (self.machines.len() / GATHERING + 1).saturating_sub(there);
         for id in &overdue {
             let Some(run) = self.jobs.get_mut(id) else { continue };
@@ -48,7 +47,7 @@
                 let (rank, team, class) = (run.spec.rank, run.spec.team.clone(), run.spec.class.clone());
                 info!("{id} of class {class} waited too long: its first task goes before others");
                 self.hand_out(TaskId { job: *id, index }, machine);
-                let w = self.ctx.operator.team_weights.get(&team).copied().unwrap_or(1.0);
+                let w = self.weight(&team);
                 let queue = self.queues.entry(rank).or_default();
                 queue.set_waiting(&team, true, self.ctx.operator.task_cost, w);
                 queue.serve(&team);
@@ -67,8 +66,7 @@
     fn gather(&mut self, id: JobId, now: Micros) -> bool {
         let Some(run) = self.jobs.get(&id) else { return false };
         let (spec, zones, contact) = (run.spec.clone(), self.zones_of(run), self.contacts(now));
-        let kept = |m: &Machine| m.gathers.filter(|(_, until)| now < *until).map(|(job, _)| job);
-        if self.machines.values().any(|m| kept(m) == Some(id)) {
+        if self.machines.values().any(|m| m.gathers_for(now) == Some(id)) {
             return false;
         }
         // Replicas don't end, so that what they hold is no room to come.
@@ -83,7 +81,7 @@
         let best = self
             .machines
             .iter()
-            .filter(|(_, m)| m.in_reach(&contact) && kept(m).is_none())
+            .filter(|(_, m)| m.in_reach(&contact) && m.gathers_for(now).is_none())
             .filter(|(_, m)| spec.allows(&m.build, &m.zone, m.spot, &m.size))
             .filter(|(_, m)| fleet::zone_ok(&spec, &m.zone, &zones))
             .filter(|(_, m)| m.size.minus(lasting(m)).fits(&spec.need))
--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -198,10 +198,9 @@
         let again = run.proven || spec.attempts.is_some() || run.failed_on.len() > 3;
         self.rooms.best(&Asked { spec, zones }, |id| {
             let m = self.machines.get(id)?;
-            let kept = m.kept_for.is_some_and(|(r, until)| spec.rank < r && now < until);
-            let kept = kept
-                || spec.rank < Rank::Production
-                    && m.gathers.is_some_and(|(job, until)| job != spec.id && now < until);
+            let gathers = m.gathers_for(now).is_some_and(|job| job != spec.id);
+            let kept = m.kept_for.is_some_and(|(r, until)| spec.rank < r && now < until)
+                || gathers && spec.rank < Rank::Production;
             let failed = !again && run.failed_on.contains(id);
             let free = m.free();
             (!kept && !failed && free.fits(&spec.need)).then_some(free)
--- a/crates/core/src/leader/run.rs
+++ b/crates/core/src/leader/run.rs
@@ -124,6 +124,10 @@
     pub(super) fn mistaken(&self) -> bool {
         !self.proven && self.spec.attempts.is_none() && self.failures > MISTAKEN && self.failed_on.len() > 1
     }
+    /// How many of its tasks may be handed out now.
+    pub(super) fn may_start(&self) -> u32 {
+        if self.mistaken() { self.bound.is_empty() as u32 } else { self.waiting() }
+    }
     /// Nothing more of it is handed out now.
     pub(super) fn held_back(&self) -> bool {
         !self.bound.is_empty() && self.mistaken()
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -219,14 +219,18 @@
         waiting
     }
 
+    /// A team's weight in the queues.
+    pub(super) fn weight(&self, team: &str) -> f64 {
+        self.ctx.operator.team_weights.get(team).copied().unwrap_or(1.0)
+    }
+
     fn serve_rank(&mut self, rank: Rank, pass: &mut Pass) {
         let teams = self.waiting.ranks.get(&rank).cloned().unwrap_or_default();
         let least = self.waiting.least_cpu.get(&rank).copied().unwrap_or(0);
         let mut queue = self.queues.remove(&rank).unwrap_or_default();
         let cost = self.ctx.operator.task_cost;
         for t in &self.ctx.teams {
-            let w = self.ctx.operator.team_weights.get(&t.name).copied().unwrap_or(1.0);
-            queue.set_waiting(&t.name, teams.contains_key(&t.name), cost, w);
+            queue.set_waiting(&t.name, teams.contains_key(&t.name), cost, self.weight(&t.name));
         }
         let mut next: BTreeMap<&str, usize> = BTreeMap::new();
         let mut stuck: BTreeSet<String> = BTreeSet::new();
@@ -299,7 +303,7 @@
             None if may_preempt => {
                 // Room for all that waits at once; what was stopped needs a
                 // moment to go, and stopping more meanwhile would be waste.
-                let (mut zones, mut left) = (zones, if run.mistaken() { 1 } else { run.waiting() });
+                let (mut zones, mut left) = (zones, run.may_start());
                 while left > 0 {
                     let Some((zone, room)) = self.make_room(id, &zones, false, pass) else { break };
                     *zones.entry(zone).or_default() += room.min(left);
--- a/tests/world/blink.rs
+++ b/tests/world/blink.rs
@@ -153,16 +153,9 @@
 /// Days of processes that are back at once; `BLINK_SEEDS=0..200` for others.
 #[test]
 fn processes_that_are_back_at_once_confuse_nobody() {
-    let seeds = std::env::var("BLINK_SEEDS").ok();
-    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
-        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
-        None => (0, 12),
-    };
-    if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
-    }
+    logs();
     let (mut lead, mut service) = (Vec::new(), Vec::new());
-    for seed in from..to {
+    for seed in seeds("BLINK_SEEDS", 0, 12) {
         let sizes = if seed % 6 == 0 { vec![BLINK, BLINK_OF_SEVEN] } else { vec![BLINK] };
         for size in sizes {
             let what = format!("seed {seed}, {} controllers", size.nodes);
--- a/tests/world/fleet.rs
+++ b/tests/world/fleet.rs
@@ -242,14 +242,8 @@
 /// Fleet days with three and seven controllers; `FLEET_SEEDS=1..9` for others.
 #[test]
 fn a_fleet_falls_together_and_recovers() {
-    let seeds = std::env::var("FLEET_SEEDS").ok();
-    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
-        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
-        None => (1, 2),
-    };
-    if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
-    }
+    let std::ops::Range { start: from, end: to } = seeds("FLEET_SEEDS", 1, 2);
+    logs();
     for seed in from..to {
         for size in [FLEET, FLEET_OF_SEVEN] {
             let w = play(seed, false, size);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1211,6 +1211,22 @@
     .filter(|f| f.tasks > 0)
 }
 
+/// The seeds of a test: those that the variable names, as `0..200`, or its own.
+fn seeds(name: &str, from: u64, to: u64) -> std::ops::Range<u64> {
+    let given = std::env::var(name).ok();
+    match given.as_deref().and_then(|s| s.split_once("..")) {
+        Some((a, b)) => a.parse().unwrap()..b.parse().unwrap(),
+        None => from..to,
+    }
+}
+
+/// Starts the log where the environment asks for one.
+fn logs() {
+    if std::env::var("LOG_LEVEL").is_ok() {
+        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
+    }
+}
+
 /// Plays a day; what it broke, and how much ran.
 fn play(seed: u64, quiet: bool, size: Size) -> World {
     let mut w = World::new(seed, quiet, size);
@@ -1270,14 +1286,8 @@
 /// all arrays must get done.
 #[test]
 fn rough_days_keep_the_rules() {
-    let seeds = std::env::var("WORLD_SEEDS").ok();
-    if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
-    }
-    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
-        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
-        None => (100, 124),
-    };
+    logs();
+    let std::ops::Range { start: from, end: to } = seeds("WORLD_SEEDS", 100, 124);
     let mut started = 0;
     // Seeds that once broke a rule: 186, a cancellation that a controller
     // refused by the state service alone never heard of; 1145, a witness of the
@@ -1296,12 +1306,7 @@
 /// The same troubles over seven controllers and hundreds of machines.
 #[test]
 fn a_grown_world_keeps_the_rules() {
-    let seeds = std::env::var("GROWN_SEEDS").ok();
-    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
-        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
-        None => (1, 3),
-    };
-    for seed in from..to {
+    for seed in seeds("GROWN_SEEDS", 1, 3) {
         let w = play(seed, false, GROWN);
         assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
         // It is a grown world only if much ran at a time, and enough was rented
--- a/tests/world/nomad.rs
+++ b/tests/world/nomad.rs
@@ -333,14 +333,8 @@
 /// Nomad jobs beside native ones through rough days.
 #[test]
 fn planners_jobs_keep_the_rules() {
-    let seeds = std::env::var("NOMAD_SEEDS").ok();
-    let (from, to) = match seeds.as_deref().and_then(|s| s.split_once("..")) {
-        Some((a, b)) => (a.parse().unwrap(), b.parse().unwrap()),
-        None => (1, 13),
-    };
-    if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
-    }
+    let std::ops::Range { start: from, end: to } = seeds("NOMAD_SEEDS", 1, 13);
+    logs();
     let (mut accepted, mut replaced, mut launched) = (0, 0, 0);
     for seed in from..to {
         let mut w = play(seed, false, PLANNED);
--- a/tests/world/oncall.rs
+++ b/tests/world/oncall.rs
@@ -310,19 +310,9 @@
     }
 }
 
-fn seeds(name: &str, from: u64, to: u64) -> std::ops::Range<u64> {
-    let given = std::env::var(name).ok();
-    match given.as_deref().and_then(|s| s.split_once("..")) {
-        Some((a, b)) => a.parse().unwrap()..b.parse().unwrap(),
-        None => from..to,
-    }
-}
-
 #[test]
 fn what_on_call_met_breaks_no_rule() {
-    if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
-    }
+    logs();
     let (mut started, mut unanswered, mut days, mut failed) = (0, 0, 0, Vec::new());
     let all = seeds("ONCALL_SEEDS", 0, 30).map(|s| (s, if s % 5 == 4 { ONCALL_OF_SEVEN } else { ONCALL }));
     for (seed, size) in all {
@@ -346,9 +336,7 @@
 
 /// A quiet world in which so much runs after a minute, with no other trouble to come.
 fn settled(seed: u64, nodes: usize) -> World {
-    if std::env::var("LOG_LEVEL").is_ok() {
-        gorseshore_shell::logger::start(gorseshore_settings::LogFormat::Plain);
-    }
+    logs();
     let size = Size { nodes, busy_until: 40 * S, ends: 400 * S, jobs: 14, tasks: 9, ..ONCALL };
     let mut w = World::new(seed, true, size);
     w.run(60 * S);
