Cancellations: whoever must know is told before a user is, and a witness stands in for a silent leader

Cause: a cancellation confirmed by one controller reached the others through the state service only. Change: node/cancellations.rs tells every controller that is heard, and the leader, and answers the user once they have acknowledged; 503 where one can't be told, from every controller. A process that begins anew is told by the others. Where no leader is heard, witnesses of its books ask, stop, and last delete what may hold a cancelled task (deputy.rs); books say which starts may still be on the way. A process that knows nothing and hears nobody who does keeps workers alive for a part of cancel_s only. Messages are version 5: stop all, start all.

--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -47,6 +47,8 @@
     pub attempt: Attempt,
     /// On these machines.
     pub on: Vec<MachineId>,
+    /// Its start on one of them may still be on the way.
+    pub starting: bool,
     /// Handed to a controller, whose word is not known: on any machine, or on
     /// any of the zone if the hand-out names one.
     pub handed: Option<(MachineId, Option<String>)>,
@@ -449,7 +451,7 @@
     }
 
     fn entry(attempt: u64) -> Option<Entry> {
-        Some(Entry { attempt: Attempt(attempt), on: vec!["m".into()], handed: None })
+        Some(Entry { attempt: Attempt(attempt), on: vec!["m".into()], starting: false, handed: None })
     }
 
     #[test]
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -168,7 +168,11 @@
                     Binding { attempt: *attempt, handed: None, on: BTreeSet::new() }
                 });
                 m.bound.insert(*task);
-                if b.on.insert(s.id.clone()) {
+                // That a start has arrived is in the books, too: a witness that stands in
+                // for a leader deletes where it may not have.
+                let arrived = *state != TaskState::Starting
+                    && old.get(task).is_some_and(|(_, s)| *s == TaskState::Starting);
+                if b.on.insert(s.id.clone()) || arrived {
                     self.books.note(*task);
                     if b.on.len() > 1 {
                         warn!("{task} may be on several machines: {:?}", b.on);
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -36,7 +36,11 @@
                 let spec = &self.jobs[&task.job].spec;
                 (h.hint.clone(), spec.has_zone_rule().then(|| h.zone.clone()))
             });
-            Some(Entry { attempt: b.attempt, on: b.on.iter().cloned().collect(), handed })
+            let starting = b.on.iter().any(|id| {
+                let state = self.machines.get(id).and_then(|m| m.tasks.get(task)).map(|t| t.1);
+                state.is_none_or(|s| s == TaskState::Starting)
+            });
+            Some(Entry { attempt: b.attempt, on: b.on.iter().cloned().collect(), starting, handed })
         };
         let tasks = match self.books.changed(base) {
             Some(tasks) => tasks.into_iter().map(|t| (t, entry(&t))).collect(),
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -409,6 +409,14 @@
         }
     }
 
+    /// A controller asks, before it tells a user, whether this leader acts on a
+    /// cancellation: also one that was on record for long.
+    pub fn told_cancelled(&mut self, id: JobId, ledger: &Ledger, now: Micros) {
+        if ledger.jobs.get(&id).is_some_and(|j| j.phase == Phase::Aborted && !j.settled) {
+            self.aborted.entry(id).or_insert(now);
+        }
+    }
+
     /// Lets go of jobs that wait for the end of the one that they replace.
     fn release(&mut self, ledger: &Ledger, now: Micros) {
         let free = |id: &JobId| {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 pub mod books;
 pub mod controller;
+pub mod deputy;
 pub mod election;
 pub mod fair_queue;
 pub mod fleet;
--- /dev/null
+++ b/crates/core/src/node/cancellations.rs
@@ -0,0 +1,342 @@
+//! Cancellations: who has been told of one, and who must be before a user is.
+//!
+//! Invariant: a user hears that a job is cancelled only when
+//! - its cancellation is on record, or was told by a controller that saw it so;
+//! - the leader of the latest term that is known acts on it: it stops the job's tasks
+//!   through their holders and deletes the machines that can't be reached, for which
+//!   it needs neither the state service nor a confirmed lease;
+//! - every controller that is heard acts on it, with whatever workers report to it.
+//!
+//! Who was told once stays told: an end never changes, and the leader of a later term
+//! has read it before it leads. A process that begins anew is told by all the others.
+//! Where one who must know can't be told, the user hears 503 at once or after
+//! `PATIENCE`, from any controller, and the telling goes on.
+use super::*;
+use crate::peer::Cancellation;
+
+/// A user's answer waits for the word of the others for so long, a few times what
+/// their answers take; then it is 503, and the user comes back.
+const PATIENCE: Micros = Micros::millis(700);
+/// Who has not acknowledged a cancellation that a user waits for is told again after this.
+const AGAIN: Micros = Micros::millis(150);
+/// The same where nobody waits: for processes that have begun since.
+const AGAIN_LATER: Micros = Micros::secs(1);
+/// All are looked at so often.
+const LOOKED_AT: Micros = Micros::millis(100);
+/// Cancellations told in one message.
+const AT_ONCE: usize = 500;
+
+/// Who waits until everybody who must know does.
+#[derive(Debug)]
+enum Asker {
+    User(RequestId),
+    /// The guest, whose transaction ended jobs; how that went.
+    Guest(Ticket, CallResult),
+}
+
+/// One cancellation.
+#[derive(Debug)]
+struct Known {
+    record: Cancellation,
+    since: Micros,
+    /// The highest term whose leader acts on it.
+    led: u64,
+    askers: Vec<(Asker, Micros)>,
+    /// When each controller was last told.
+    sent: Vec<Option<Micros>>,
+    /// It was told here that all know; the others hear of that once.
+    announce: bool,
+}
+
+/// Cancellations that somebody may still have to hear of.
+#[derive(Debug, Default)]
+pub(super) struct Cancellations {
+    jobs: BTreeMap<JobId, Known>,
+    /// Somebody asks, or answered: to be looked at now. Otherwise as time goes on.
+    dirty: bool,
+    looked: Micros,
+}
+
+impl Cancellations {
+    /// Takes a cancellation; whether it was not known here.
+    fn take(&mut self, c: &Cancellation, nodes: usize, now: Micros) -> bool {
+        if let Some(k) = self.jobs.get_mut(&c.job) {
+            k.record.told |= c.told;
+            for (mine, theirs) in k.record.known_by.iter_mut().zip(&c.known_by) {
+                *mine = (*mine).max(*theirs);
+            }
+            return false;
+        }
+        let mut record = c.clone();
+        record.known_by.resize(nodes, 0);
+        let sent = vec![None; nodes];
+        self.jobs
+            .insert(c.job, Known { record, since: now, led: 0, askers: Vec::new(), sent, announce: false });
+        true
+    }
+}
+
+impl Cancellations {
+    /// Cancellations of which something may be left, and since when they are known here.
+    pub fn unsettled(&self) -> Vec<(JobId, Micros)> {
+        self.jobs.iter().map(|(job, k)| (*job, k.since)).collect()
+    }
+}
+
+/// The record of an end that a cancellation tells of.
+fn end_of(c: &Cancellation) -> serde_json::Value {
+    let mut v = json!({"end": "aborted", "at": c.at_ms});
+    if let Some(why) = &c.cause {
+        v["why"] = json!(why);
+    }
+    v
+}
+
+impl Node {
+    /// Jobs that a transaction ended, once it is known to be carried out: they are
+    /// over here from now on, whenever the state service tells of it.
+    pub(super) fn ended_by(&mut self, writes: &[Write], stamp: u64) -> Vec<JobId> {
+        let mut ended = Vec::new();
+        for w in writes {
+            let Write::Put { put, v, .. } = w else { continue };
+            if v["end"] == "aborted"
+                && let Change::Job(job) = self.mirror.ledger.apply(put, Some(v), stamp)
+            {
+                self.changed(Change::Job(job));
+                ended.push(job);
+            }
+        }
+        ended
+    }
+
+    /// Answers for a cancelled job as soon as a user may be told.
+    pub(super) fn tell_user(&mut self, id: RequestId, job: JobId) {
+        self.tell(Asker::User(id), job);
+    }
+
+    /// The guest hears of its transaction when users may hear of the ends in it.
+    pub(super) fn tell_guest(&mut self, t: Ticket, jobs: &[JobId], result: CallResult) {
+        // All are told of together, and the guest waits for the last of them.
+        for job in jobs {
+            self.note_cancelled(*job);
+        }
+        match jobs.last() {
+            Some(job) => self.tell(Asker::Guest(t, result), *job),
+            None => self.ask_guest(GuestInput::Called(t, result)),
+        }
+    }
+
+    fn tell(&mut self, asker: Asker, job: JobId) {
+        self.note_cancelled(job);
+        let until = self.now + PATIENCE;
+        let reachable = self.leader_node().is_some_and(|n| n == self.nodes.me || self.reaches(n));
+        let Some(k) = self.cancellations.jobs.get_mut(&job) else { return };
+        if !k.record.told && !reachable {
+            return self.not_told(asker);
+        }
+        k.askers.push((asker, until));
+        self.cancellations.dirty = true;
+        self.spread_cancellations();
+    }
+
+    /// A way to a controller is known: direct, or by another one.
+    fn reaches(&self, n: NodeId) -> bool {
+        self.hears(n, HEARD) || self.peers.relay(n, self.now).is_some()
+    }
+
+    fn not_told(&mut self, asker: Asker) {
+        match asker {
+            Asker::User(id) => self.out.later(id, "not every controller knows of the cancellation yet"),
+            Asker::Guest(t, _) => self.ask_guest(GuestInput::Called(t, CallResult::Unknown)),
+        }
+    }
+
+    /// Takes a cancellation from the mirror.
+    fn note_cancelled(&mut self, job: JobId) {
+        let Some(j) = self.mirror.ledger.jobs.get(&job).filter(|j| j.phase == Phase::Aborted) else { return };
+        let record = Cancellation {
+            job,
+            at_ms: j.ended_ms,
+            stamp: j.end_stamp,
+            cause: j.cause.clone(),
+            told: false,
+            known_by: Vec::new(),
+        };
+        self.cancellations.take(&record, self.nodes.names.len(), self.now);
+    }
+
+    /// Whether a user may be told that a job is cancelled.
+    pub(super) fn may_tell(&self, job: JobId) -> bool {
+        // Nothing of it is on any machine: there is nothing that anybody has to know.
+        if self.mirror.ledger.jobs.get(&job).is_some_and(|j| j.settled) {
+            return true;
+        }
+        let Some(k) = self.cancellations.jobs.get(&job) else { return false };
+        k.record.told || self.all_know(k)
+    }
+
+    /// Whether everybody who must know of a cancellation does.
+    fn all_know(&self, k: &Known) -> bool {
+        // A leader that took its key before the record has to be told; whether there is
+        // one, only a mirror that holds the record knows.
+        let applied = self.mirror.ledger.applied >= k.record.stamp;
+        let mine = self.leadership.leader.as_ref().map_or(0, |l| l.term);
+        let led = k.led.max(mine) > 0 && k.led.max(mine) >= self.leader_term();
+        applied
+            && led
+            && self.peers.all().filter(|n| *n != self.nodes.me && self.hears(*n, HEARD)).all(|n| {
+                let process = self.peers.states[n.0 as usize].incarnation;
+                k.record.known_by[n.0 as usize] >= process
+            })
+    }
+
+    /// Tells who has to know, and answers those for whom everybody does.
+    pub(super) fn spread_cancellations(&mut self) {
+        let (now, me) = (self.now, self.nodes.me);
+        let waits = now.since(self.cancellations.looked) < LOOKED_AT;
+        if waits && !std::mem::take(&mut self.cancellations.dirty) {
+            return;
+        }
+        self.cancellations.looked = now;
+        // What is settled on record is over; what nobody asks about any more was left
+        // by its machines long ago, or is the state service's to tell.
+        let (keep, ledger) = (self.ctx.cancel.scale(4, 1), &self.mirror.ledger);
+        self.cancellations.jobs.retain(|job, k| {
+            !k.askers.is_empty()
+                || now.since(k.since) < keep && ledger.jobs.get(job).is_none_or(|j| !j.settled)
+        });
+        if self.cancellations.jobs.is_empty() {
+            return;
+        }
+        let told: Vec<JobId> =
+            self.cancellations.jobs.keys().filter(|j| self.may_tell(**j)).copied().collect();
+        let mut done = Vec::new();
+        for job in told {
+            let Some(k) = self.cancellations.jobs.get_mut(&job) else { continue };
+            if !k.askers.is_empty() && !std::mem::replace(&mut k.record.told, true) {
+                // The others may tell users as well, and need not ask each other.
+                k.announce = true;
+                k.sent.fill(None);
+            }
+            done.extend(k.askers.drain(..).map(|(a, _)| (a, job)));
+        }
+        for (asker, job) in done {
+            match asker {
+                Asker::User(id) => self.aborted_answer(id, job),
+                Asker::Guest(t, result) => self.ask_guest(GuestInput::Called(t, result)),
+            }
+        }
+        let mut late = Vec::new();
+        for k in self.cancellations.jobs.values_mut() {
+            let (gone, left): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut k.askers).into_iter().partition(|(_, until)| now >= *until);
+            k.askers = left;
+            late.extend(gone.into_iter().map(|(a, _)| a));
+        }
+        late.into_iter().for_each(|a| self.not_told(a));
+        let leader = self.leader_node();
+        let term = self.leader_term();
+        for n in self.peers.all().filter(|n| *n != me) {
+            let heard = self.hears(n, HEARD);
+            let leads = Some(n) == leader;
+            if !(heard || leads && self.peers.relay(n, now).is_some()) {
+                continue;
+            }
+            let i = n.0 as usize;
+            let process = self.peers.states[i].incarnation;
+            let due = |k: &&mut Known| {
+                let waited = !k.askers.is_empty();
+                let again = if waited { AGAIN } else { AGAIN_LATER };
+                // Who is told the first time after the end learned of it in another
+                // way as a rule; then its acknowledgement comes with those of others.
+                let first = if waited || k.record.told { Micros(0) } else { AGAIN_LATER };
+                let knows = k.record.known_by[i] >= process && !(leads && waited && k.led < term);
+                let news = k.announce && k.sent[i].is_none();
+                (!knows || news)
+                    && now.since(k.since) >= first
+                    && k.sent[i].is_none_or(|t| now.since(t) >= again)
+            };
+            let mut all = Vec::new();
+            for k in self.cancellations.jobs.values_mut().filter(due).take(AT_ONCE) {
+                k.sent[i] = Some(now);
+                all.push(k.record.clone());
+            }
+            if !all.is_empty() {
+                self.send(n, Message::Cancelled(all));
+            }
+        }
+    }
+
+    /// Another controller tells of cancellations. A late or repeated one says nothing
+    /// new: an end never changes.
+    pub(super) fn cancellations_came(&mut self, from: NodeId, all: &[Cancellation]) {
+        let nodes = self.nodes.names.len();
+        for c in all {
+            self.cancellations.take(c, nodes, self.now);
+            self.mark_known(c.job, self.nodes.me, self.incarnation);
+            self.act_on(c);
+        }
+        let jobs = all.iter().map(|c| c.job).collect();
+        let leads = self.leadership.leader.as_ref().map(|l| l.term);
+        self.send(from, Message::CancelledKnown { jobs, leads });
+        self.drive();
+    }
+
+    /// Ends a job in the mirror, ahead of the state service.
+    fn act_on(&mut self, c: &Cancellation) {
+        let phase = self.mirror.ledger.jobs.get(&c.job).map(|j| j.phase);
+        match phase {
+            Some(Phase::Done) => return warn!("{}: cancelled and done", c.job),
+            Some(Phase::Aborted) => {}
+            Some(Phase::Active) | None => {
+                debug!("{}: told of its cancellation", c.job);
+                let change = self.mirror.ledger.apply(&keys::end(c.job), Some(&end_of(c)), c.stamp);
+                self.changed(change);
+            }
+        }
+        if let Some(l) = self.leadership.leader.as_mut() {
+            l.told_cancelled(c.job, &self.mirror.ledger, self.now);
+        }
+    }
+
+    /// The state was read anew: what was told ahead of it still holds.
+    pub(super) fn reapply_cancellations(&mut self) {
+        let all: Vec<Cancellation> = self.cancellations.jobs.values().map(|k| k.record.clone()).collect();
+        all.iter().for_each(|c| self.act_on(c));
+    }
+
+    fn mark_known(&mut self, job: JobId, n: NodeId, process: u64) {
+        if let Some(k) = self.cancellations.jobs.get_mut(&job) {
+            let known = &mut k.record.known_by[n.0 as usize];
+            *known = (*known).max(process);
+        }
+    }
+
+    /// Another controller acts on cancellations.
+    pub(super) fn cancellations_known(
+        &mut self,
+        from: NodeId,
+        process: u64,
+        jobs: &[JobId],
+        leads: Option<u64>,
+    ) {
+        for job in jobs {
+            self.mark_known(*job, from, process);
+            if let Some(k) = self.cancellations.jobs.get_mut(job) {
+                k.led = k.led.max(leads.unwrap_or(0));
+            }
+        }
+        self.cancellations.dirty = true;
+        self.spread_cancellations();
+    }
+
+    /// Whether this process can know what was cancelled before it began: it has read
+    /// the state, or hears somebody who has and tells it.
+    pub(super) fn informed(&self) -> bool {
+        self.mirror.loaded
+            || self
+                .peers
+                .all()
+                .any(|n| n != self.nodes.me && self.hears(n, HEARD) && self.peers.states[n.0 as usize].loaded)
+    }
+}
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -5,6 +5,7 @@
 impl Node {
     pub(super) fn tick(&mut self) {
         self.expire();
+        self.spread_cancellations();
         self.follow();
         if !self.mirror.state_ok(self.now)
             || !self.mirror.loaded
@@ -16,6 +17,7 @@
         self.write_users();
         self.elect();
         self.lead();
+        self.stand_in();
         self.flavors();
         self.answer_held();
         self.drive();
@@ -35,7 +37,8 @@
             for i in 0..self.nodes.names.len() {
                 if i != self.nodes.me.0 as usize {
                     let hears = hears.clone();
-                    self.out.send(NodeId(i as u8), Message::Ping { state_ok, hears, queued });
+                    let loaded = self.mirror.loaded;
+                    self.out.send(NodeId(i as u8), Message::Ping { state_ok, hears, queued, loaded });
                 }
             }
         }
--- a/crates/core/src/node/membership.rs
+++ b/crates/core/src/node/membership.rs
@@ -7,6 +7,10 @@
     pub heard: Option<Micros>,
     /// Its host refused a connection.
     pub refused: Option<Micros>,
+    /// Number of its process, the highest that was heard of.
+    pub incarnation: u64,
+    /// It has read the state in its life.
+    pub loaded: bool,
     /// The state service answers it.
     pub state_ok: bool,
     pub hears: Vec<NodeId>,
@@ -20,6 +24,8 @@
     pub states: Vec<Peer>,
     /// The highest term that a leader was heard in.
     pub leader_known: Option<(u64, NodeId)>,
+    /// When a leader of that term was last heard.
+    pub led_at: Micros,
     pub sync_at: Micros,
     pub sync_term: u64,
     pub ping_at: Micros,
@@ -34,6 +40,7 @@
         Peers {
             states: vec![Peer::default(); nodes],
             leader_known: None,
+            led_at: Micros(0),
             sync_at: Micros(0),
             sync_term: 0,
             ping_at: Micros(0),
@@ -68,7 +75,10 @@
     }
 
     /// A leader was heard in this term.
-    pub fn lead_heard(&mut self, term: u64, from: NodeId) {
+    pub fn lead_heard(&mut self, term: u64, from: NodeId, now: Micros) {
+        if self.leader_known.is_none_or(|(t, _)| t <= term) {
+            self.led_at = now;
+        }
         if self.leader_known.is_none_or(|(t, _)| t < term) {
             self.leader_known = Some((term, from));
         }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! A whole controller node: its mirror of the state service, its part in the
 //! election, its block, and the leader's work while it leads.
+mod cancellations;
 mod catalogue;
 mod duties;
 mod held_check_ins;
@@ -10,9 +11,11 @@
 mod peers;
 mod relay;
 mod requests;
+mod stand_in;
 mod waiting;
 mod workers;
 
+use cancellations::Cancellations;
 use catalogue::Catalogue;
 use held_check_ins::HeldCheckIns;
 use leadership::Leadership;
@@ -23,6 +26,7 @@
 
 use crate::books::{Book, Kept};
 use crate::controller::{CheckinReply, Controller, read_tasks};
+use crate::deputy::Deputy;
 use crate::election::Role;
 use crate::guest::{Guest, GuestInput, GuestOutput, Host, Ticket};
 use crate::jobs::{self, Change, LeaderRecord, Ledger, MachineRecord, Phase, keys};
@@ -97,6 +101,10 @@
     Flavors,
     Worker(MachineId),
     Probe(MachineId),
+    /// A machine that may hold a cancelled task, asked or told in a leader's place.
+    Deputy,
+    /// Machines deleted in a leader's place.
+    DeputyDelete(Vec<MachineId>),
 }
 
 /// The node. Each part owns the state of one duty; what crosses parts is here.
@@ -108,6 +116,8 @@
     limits: (usize, f64, f64, f64),
     value_limit: usize,
     now: Micros,
+    /// When this process began.
+    began: Micros,
     wall_ms: u64,
     rng: fastrand::Rng,
     out: Outbox,
@@ -115,6 +125,7 @@
     incarnation: u64,
     mirror: Mirror,
     users: Users,
+    cancellations: Cancellations,
     leadership: Leadership,
     peers: Peers,
     relay: Relay,
@@ -123,6 +134,7 @@
     ctl: Controller,
     /// Books of leaders that this node is a witness of.
     kept: Kept,
+    deputy: Deputy,
     books_asked: Micros,
     has_guest: bool,
     guest: Option<Box<dyn Guest>>,
@@ -155,6 +167,7 @@
             limits: (d.state.txn_ops, d.state.rps, w, d.cloud.rps),
             value_limit: (d.state.value_kb * 1000.0) as usize,
             now,
+            began: now,
             wall_ms: 0,
             rng: fastrand::Rng::with_seed(seed),
             out: Outbox::default(),
@@ -162,6 +175,7 @@
             incarnation: incarnation.max(2),
             mirror: Mirror::default(),
             users: Users::new(w * 0.9 / n, d.state.rps / n, now),
+            cancellations: Cancellations::default(),
             leadership: Leadership::new(&operator, w, now),
             peers: Peers::new(nodes.names.len()),
             relay: Relay::default(),
@@ -169,6 +183,7 @@
             held_check_ins: HeldCheckIns::default(),
             ctl: Controller::default(),
             kept: Kept::default(),
+            deputy: Deputy::default(),
             books_asked: Micros(0),
             has_guest: false,
             guest: None,
@@ -208,6 +223,7 @@
             Input::Peer { from, incarnation, message } => {
                 if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
                     p.heard = Some(self.now);
+                    p.incarnation = p.incarnation.max(incarnation);
                 }
                 self.peer(from, incarnation, message);
             }
@@ -239,8 +255,15 @@
 
     fn called(&mut self, id: CallId, result: CallResult) {
         let Some(p) = self.calls.remove(&id) else { return };
-        let of_state =
-            !matches!(p, Purpose::Cloud(..) | Purpose::Flavors | Purpose::Worker(_) | Purpose::Probe(_));
+        let of_state = !matches!(
+            p,
+            Purpose::Cloud(..)
+                | Purpose::Flavors
+                | Purpose::Worker(_)
+                | Purpose::Probe(_)
+                | Purpose::Deputy
+                | Purpose::DeputyDelete(_)
+        );
         if of_state && !matches!(p, Purpose::Follow) {
             match &result {
                 CallResult::Answer { status, .. } if *status < 500 && *status != 429 => {
@@ -357,6 +380,12 @@
                     self.catalogue.take(f);
                 }
             }
+            Purpose::Deputy => self.deputy_answered(&result),
+            Purpose::DeputyDelete(ids) => {
+                if let CallResult::Answer { status: 200, .. } = result {
+                    self.deputy.deleted(&ids);
+                }
+            }
             Purpose::Worker(m) => {
                 self.ctl.called(&m, id, &result, self.now);
                 self.drive();
@@ -413,6 +442,7 @@
         ledger.applied = first;
         let aside = ledger.aside.take().unwrap_or_default();
         self.mirror.ledger = *ledger;
+        self.reapply_cancellations();
         if let Some(g) = self.guest.as_mut() {
             g.begin(first);
             for (name, v, stamp) in &aside {
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -94,13 +94,18 @@
 
     pub(super) fn peer(&mut self, from: NodeId, incarnation: u64, m: Message) {
         match m {
-            Message::Ping { state_ok, hears, queued } => {
+            Message::Ping { state_ok, hears, queued, loaded } => {
                 if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
+                    p.loaded = loaded;
                     p.state_ok = state_ok;
                     p.hears = hears;
                     p.queued = queued;
                 }
             }
+            Message::Cancelled(all) => self.cancellations_came(from, &all),
+            Message::CancelledKnown { jobs, leads } => {
+                self.cancellations_known(from, incarnation, &jobs, leads);
+            }
             Message::Forward { to, envelope } => {
                 if to != self.nodes.me {
                     self.out.send(to, Message::Forward { to, envelope });
@@ -141,7 +146,7 @@
                 if mine != self.my_incarnation(from) || !self.ctl.accept_update(term, seq, base) {
                     return;
                 }
-                self.peers.lead_heard(term, from);
+                self.peers.lead_heard(term, from, self.now);
                 let added = self.ctl.take_block(base == 0, &block, &elsewhere);
                 if added > 0 {
                     debug!("block: {added} machines granted");
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -52,22 +52,31 @@
         heard.peek().is_some() && heard.all(|p| !p.state_ok)
     }
 
-    /// The answer for a job whose end is known; ends never change.
+    /// The answer for a job whose end is known; ends never change. A cancellation
+    /// is answered for when everybody who must know of it does.
     pub(super) fn final_answer(&mut self, id: RequestId, job: JobId) -> bool {
         let Some(j) = self.mirror.ledger.jobs.get(&job) else { return false };
-        if let (Phase::Aborted, Some(cause)) = (j.phase, &j.cause) {
-            self.out.answer(id, 200, users::failed_answer(job, cause));
-            return true;
-        }
-        let (stage, done) = match j.phase {
+        match j.phase {
             Phase::Active => return false,
-            Phase::Done => ("done", j.tasks),
-            Phase::Aborted => ("aborted", 0),
-        };
-        self.out.answer(id, 200, users::job_answer(job, stage, done, 0));
+            Phase::Done => {
+                let answer = users::job_answer(job, "done", j.tasks, 0);
+                self.out.answer(id, 200, answer);
+            }
+            Phase::Aborted if self.may_tell(job) => self.aborted_answer(id, job),
+            Phase::Aborted => self.tell_user(id, job),
+        }
         true
     }
 
+    pub(super) fn aborted_answer(&mut self, id: RequestId, job: JobId) {
+        let cause = self.mirror.ledger.jobs.get(&job).and_then(|j| j.cause.as_ref());
+        let answer = match cause {
+            Some(cause) => users::failed_answer(job, cause),
+            None => users::job_answer(job, "aborted", 0, 0),
+        };
+        self.out.answer(id, 200, answer);
+    }
+
     pub(super) fn current_answer(&mut self, id: RequestId, job: JobId) {
         if self.final_answer(id, job) {
             return;
@@ -205,7 +214,8 @@
                     return self.out.answer(id, 404, users::error("no such job"));
                 }
                 let until = self.now + Micros::millis(3000);
-                self.users.writes.push_back((UserWrite::Abort(id, job), until));
+                let end = json!({"end": "aborted", "at": self.wall_ms});
+                self.users.writes.push_back((UserWrite::Abort(id, job, end), until));
                 self.write_users();
             }
         }
@@ -216,7 +226,7 @@
         while let Some((w, until)) = self.users.writes.pop_front() {
             if self.now > until {
                 match w {
-                    UserWrite::Submit(id, _) | UserWrite::Abort(id, _) => {
+                    UserWrite::Submit(id, _) | UserWrite::Abort(id, ..) => {
                         self.out.later(id, "the state service is slow");
                     }
                     UserWrite::Guest(t, ..) => self.ask_guest(GuestInput::Called(t, CallResult::NotSent)),
@@ -254,12 +264,12 @@
                     let key = keys::job(spec.id);
                     (vec![When { path: key.clone(), stamp: 0 }], key, jobs::job_value(spec, self.wall_ms))
                 }
-                UserWrite::Abort(_, job) => {
+                UserWrite::Abort(_, job, end) => {
                     let key = keys::end(*job);
                     let stamp = self.mirror.ledger.jobs.get(job).map_or(0, |j| j.stamp);
                     let when =
                         vec![When { path: key.clone(), stamp: 0 }, When { path: keys::job(*job), stamp }];
-                    (when, key, json!({"end": "aborted", "at": self.wall_ms}))
+                    (when, key, end.clone())
                 }
             };
             let call = self.multi(&Multi { when, writes: vec![Write::Put { put: key, v, hold: None }] });
@@ -275,15 +285,22 @@
                 debug!("{job}: accepted at {stamp}");
                 self.out.answer(id, 201, users::job_answer(job, "queued", 0, 0));
             }
-            (UserWrite::Abort(id, job), CallResult::Answer { status: 200, .. }) => {
+            (UserWrite::Abort(id, job, end), CallResult::Answer { status: 200, body }) => {
                 info!("{job}: cancelled");
-                self.out.answer(id, 200, users::job_answer(job, "aborted", 0, 0));
+                let stamp = serde_json::from_slice::<MultiAnswer>(body).map_or(0, |a| a.ledger);
+                self.ended_by(&[Write::Put { put: keys::end(job), v: end, hold: None }], stamp);
+                self.tell_user(id, job);
+            }
+            (UserWrite::Guest(t, m, _), CallResult::Answer { status: 200, body }) => {
+                let stamp = serde_json::from_slice::<MultiAnswer>(body).map_or(0, |a| a.ledger);
+                let ended = self.ended_by(&m.writes, stamp);
+                self.tell_guest(t, &ended, result.clone());
             }
             // The key is there already: the current state is the answer.
             (UserWrite::Submit(id, spec), CallResult::Answer { status: 409, .. }) => {
                 self.wait(Waiter::Poll(id, spec.id), Micros::millis(1500));
             }
-            (UserWrite::Abort(id, job), CallResult::Answer { status: 409, .. }) => {
+            (UserWrite::Abort(id, job, _), CallResult::Answer { status: 409, .. }) => {
                 self.wait(Waiter::Abort(id, job), Micros::millis(1500));
             }
             (UserWrite::Guest(t, m, as_leader), CallResult::Answer { status: 429, .. }) => {
@@ -298,7 +315,7 @@
                 self.users.bucket.force(self.now, 1.0);
                 self.users.writes.push_back((w, self.now + Micros::millis(2000) - pause));
             }
-            (UserWrite::Submit(id, _) | UserWrite::Abort(id, _), _) => {
+            (UserWrite::Submit(id, _) | UserWrite::Abort(id, ..), _) => {
                 self.out.later(id, "the state service did not confirm it");
             }
         }
--- a/crates/core/src/node/waiting.rs
+++ b/crates/core/src/node/waiting.rs
@@ -37,7 +37,8 @@
 #[derive(Debug)]
 pub(super) enum UserWrite {
     Submit(RequestId, Box<JobSpec>),
-    Abort(RequestId, JobId),
+    /// With the record of the end.
+    Abort(RequestId, JobId, serde_json::Value),
     /// The guest's; with `true` only under the leader's key.
     Guest(Ticket, Box<Multi>, bool),
 }
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -80,7 +80,14 @@
     /// whose holder it does not know or the worker can't reach: with the token
     /// that the worker showed, so that nothing is started and a newer grant is
     /// not touched. Only what is over is stopped.
+    /// A process that can't know what was cancelled before it began does so for a
+    /// time only: a worker that nobody renews kills its tasks within its lease, and
+    /// so within what is left of a cancellation.
     fn keep_alive(&mut self, id: RequestId, r: &Report) {
+        let spare = (self.ctx.cancel - self.ctx.lease).scale(1, 2);
+        if !self.informed() && self.now.since(self.began) > spare {
+            return self.send_elsewhere(id, None);
+        }
         let tasks = read_tasks(r).unwrap_or_default();
         let orders = Controller::stops_for_stranger(&tasks, &self.mirror.ledger);
         self.held_check_ins.kept_alive(MachineId::from(&*r.host), r.baton);
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Version of the messages; a frame of another version is refused.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Longest frame taken.
 pub const MAX_FRAME: usize = 16 << 20;
 
@@ -134,6 +134,23 @@
     pub grace: Micros,
 }
 
+/// A cancellation that is on record in the state service.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Cancellation {
+    /// Job.
+    pub job: JobId,
+    /// Its end's time of day, in milliseconds.
+    pub at_ms: u64,
+    /// Version of the record of the end.
+    pub stamp: u64,
+    /// Why it was ended by the service, if it was.
+    pub cause: Option<String>,
+    /// Everybody who has to know does: a user may be told of it.
+    pub told: bool,
+    /// Processes that know of it, by controller; 0 for none.
+    pub known_by: Vec<u64>,
+}
+
 /// A message.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Message {
@@ -145,6 +162,17 @@
         hears: Vec<NodeId>,
         /// Users' changes that wait for their turn in the sender's budget.
         queued: u32,
+        /// The sender has read the state in this life.
+        loaded: bool,
+    },
+    /// Cancellations that the receiver has not acknowledged, or that all know of now.
+    Cancelled(Vec<Cancellation>),
+    /// The sender acts on these cancellations.
+    CancelledKnown {
+        /// Jobs.
+        jobs: Vec<JobId>,
+        /// The term that it leads, if it leads one.
+        leads: Option<u64>,
     },
     /// To a node that hears the receiver: a `Envelope` to be passed on.
     Forward {
@@ -342,7 +370,7 @@
         let e = Envelope {
             from: NodeId(1),
             incarnation: 9,
-            message: Message::Ping { state_ok: true, hears: vec![NodeId(2)], queued: 3 },
+            message: Message::Ping { state_ok: true, hears: vec![NodeId(2)], queued: 3, loaded: true },
         };
         let f = encode(&e).unwrap();
         let head: [u8; HEAD] = f[..HEAD].try_into().unwrap();
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -4,6 +4,7 @@
 mod blink;
 mod desk;
 mod fleet;
+mod meetings;
 mod nomad;
 mod oncall;
 
--- a/tests/world/oncall.rs
+++ b/tests/world/oncall.rs
@@ -36,7 +36,7 @@
     /// Planted: no question about this job is answered.
     ignored: Option<usize>,
     /// When the last trouble ends.
-    over_at: u64,
+    pub over_at: u64,
     /// Starts sent to deaf machines: those seen, and the late ones.
     sent: BTreeSet<(String, String, u64)>,
     pub work_for_deaf: Vec<String>,
@@ -68,7 +68,7 @@
         self.oncall.deaf.get(name).is_some_and(|(until, _)| self.now < *until)
     }
 
-    fn make_deaf(&mut self, name: &str, length: u64) {
+    pub fn make_deaf(&mut self, name: &str, length: u64) {
         self.oncall.deaf.insert(name.into(), (self.now + length, Vec::new()));
     }
 
