--- a/tests/world/meetings.rs
+++ b/tests/world/meetings.rs
@@ -385,10 +385,10 @@
             "all end, one that never knew returns to its workers",
             &[
                 (0, Alone(Other(2), 2000)),
-                (1800, Cancel(Other(1))),
-                (3500, Away(1300)),
-                (3500, End(Other(2), 0)),
-                (3500, End(All, 2000)),
+                (2000, Cancel(Other(1))),
+                (2300, Away(1300)),
+                (2300, End(Other(2), 0)),
+                (2300, End(All, 2000)),
             ],
         ),
     ]);
