Books: what is done and not yet on record is known to the next leader

Cause: a leader unbinds a task as soon as it hears that it is done, and tells its witnesses so; the record follows a second or more later. Change: the books hold such tasks as done until the record shows them.

--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -49,6 +49,8 @@
     pub on: Vec<MachineId>,
     /// Its start on one of them may still be on the way.
     pub starting: bool,
+    /// It is done, and that is not on record yet: nobody may run it again.
+    pub done: bool,
     /// Handed to a controller, whose word is not known: on any machine, or on
     /// any of the zone if the hand-out names one.
     pub handed: Option<(MachineId, Option<String>)>,
@@ -451,7 +453,13 @@
     }
 
     fn entry(attempt: u64) -> Option<Entry> {
-        Some(Entry { attempt: Attempt(attempt), on: vec!["m".into()], starting: false, handed: None })
+        Some(Entry {
+            attempt: Attempt(attempt),
+            on: vec!["m".into()],
+            starting: false,
+            done: false,
+            handed: None,
+        })
     }
 
     #[test]
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -224,6 +224,8 @@
                     && ledger.jobs.get(&task.job).is_some_and(|j| !j.done.contains(task.index))
                 {
                     run.unrecorded_since.get_or_insert(now);
+                    run.unrecorded.insert(task.index);
+                    self.books.note(task);
                 }
                 if let Some(m) = self.machines.get_mut(id) {
                     m.failures = 0;
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -31,24 +31,30 @@
     /// What changed in the books after `base`, as it is now.
     fn page(&self, base: u64) -> Page {
         let entry = |task: &TaskId| {
-            let b = self.jobs.get(&task.job)?.bound.get(&task.index)?;
+            let run = self.jobs.get(&task.job)?;
+            let done = run.unrecorded.contains(&task.index);
+            let Some(b) = run.bound.get(&task.index) else {
+                let nowhere =
+                    Entry { attempt: Attempt(0), on: Vec::new(), starting: false, done, handed: None };
+                return done.then_some(nowhere);
+            };
             let handed = b.handed.as_ref().map(|h| {
-                let spec = &self.jobs[&task.job].spec;
-                (h.hint.clone(), spec.has_zone_rule().then(|| h.zone.clone()))
+                let zone = run.spec.has_zone_rule().then(|| h.zone.clone());
+                (h.hint.clone(), zone)
             });
             let starting = b.on.iter().any(|id| {
                 let state = self.machines.get(id).and_then(|m| m.tasks.get(task)).map(|t| t.1);
                 state.is_none_or(|s| s == TaskState::Starting)
             });
-            Some(Entry { attempt: b.attempt, on: b.on.iter().cloned().collect(), starting, handed })
+            Some(Entry { attempt: b.attempt, on: b.on.iter().cloned().collect(), starting, done, handed })
         };
         let tasks = match self.books.changed(base) {
             Some(tasks) => tasks.into_iter().map(|t| (t, entry(&t))).collect(),
             None => {
-                let all = self
-                    .jobs
-                    .iter()
-                    .flat_map(|(job, r)| r.bound.keys().map(|index| TaskId { job: *job, index: *index }));
+                let all = self.jobs.iter().flat_map(|(job, r)| {
+                    let kept = r.bound.keys().chain(r.unrecorded.iter());
+                    kept.map(|index| TaskId { job: *job, index: *index })
+                });
                 all.map(|t| (t, entry(&t))).collect()
             }
         };
@@ -103,6 +109,15 @@
         for (task, e) in &book.tasks {
             let job = ledger.jobs.get(&task.job);
             let Some((job, spec)) = job.and_then(|j| Some((j, j.spec.clone()?))) else { continue };
+            if e.done && job.phase == Phase::Active && !job.done.contains(task.index) {
+                let objectives = &self.ctx.objectives;
+                let run =
+                    self.jobs.entry(task.job).or_insert_with(|| Run::new(job, spec.clone(), objectives));
+                run.done.insert(task.index);
+                run.unrecorded.insert(task.index);
+                self.progressed.insert(task.job);
+                self.books.note(*task);
+            }
             // A machine without a record is gone: it is forgotten only then.
             let on: BTreeSet<MachineId> =
                 e.on.iter().filter(|id| self.machines.contains_key(*id)).cloned().collect();
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -392,7 +392,11 @@
                         }
                         self.jobs.insert(id, Run::new(job, spec.clone(), &self.ctx.objectives));
                     }
-                    Some(run) => run.recorded(job, spec),
+                    Some(run) => {
+                        for index in run.recorded(job, spec) {
+                            self.books.note(TaskId { job: id, index });
+                        }
+                    }
                 }
             }
             Phase::Aborted if job.settled => {}
@@ -406,6 +410,9 @@
             && let Some(run) = self.jobs.get_mut(&id)
         {
             run.over = true;
+            for index in std::mem::take(&mut run.unrecorded) {
+                self.books.note(TaskId { job: id, index });
+            }
         }
     }
 
--- a/crates/core/src/leader/run.rs
+++ b/crates/core/src/leader/run.rs
@@ -45,6 +45,9 @@
     /// Something of it completed, or ran for `overdue::BEGUN`.
     pub(super) begun: bool,
     pub(super) unrecorded_since: Option<Micros>,
+    /// Tasks that are done and whose record is not seen yet. The books hold them: a
+    /// worker shows them until then, but the next leader may hand out before it hears it.
+    pub(super) unrecorded: BTreeSet<u32>,
     /// Work was stopped for it; until then no more is.
     pub(super) room_until: Micros,
     /// Until then it waits for a machine with its image.
@@ -87,6 +90,7 @@
             proven: false,
             begun: !job.done.is_empty(),
             unrecorded_since: None,
+            unrecorded: BTreeSet::new(),
             room_until: Micros(0),
             patience: None,
             over: job.phase != Phase::Active,
@@ -100,9 +104,12 @@
         let most = self.spec.attempts?;
         self.fails.iter().find(|(_, f)| f.count >= most).map(|(i, _)| *i)
     }
-    /// The record says so: number of tasks, progress and failures.
-    pub(super) fn recorded(&mut self, job: &Job, spec: &JobSpec) {
+    /// The record says so: number of tasks, progress and failures. The tasks that
+    /// are on record as done by it.
+    pub(super) fn recorded(&mut self, job: &Job, spec: &JobSpec) -> Vec<u32> {
         self.done.union(&job.done);
+        let recorded: Vec<u32> = self.unrecorded.iter().copied().filter(|i| job.done.contains(*i)).collect();
+        self.unrecorded.retain(|i| !job.done.contains(*i));
         if spec.tasks != self.spec.tasks {
             // What is above the smaller number is looked at again.
             self.next = self.next.min(spec.tasks).min(self.spec.tasks);
@@ -117,6 +124,7 @@
                 self.unsaved.remove(i);
             }
         }
+        recorded
     }
     /// Whether it seems to have been submitted with a mistake: it fails wherever it is.
     /// Then one task at a time is tried, after growing pauses; one that runs well shows
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -149,6 +149,8 @@
     tasks: u32,
     cpus: f64,
     run_us: u64,
+    /// Each task runs for so much longer than the one before it.
+    later_us: u64,
     save_us: Option<u64>,
     spread: bool,
     spot: bool,
@@ -182,6 +184,7 @@
             tasks,
             cpus,
             run_us,
+            later_us: 0,
             save_us: None,
             spread: false,
             spot: false,
@@ -272,6 +275,8 @@
     broken: Vec<String>,
     started: usize,
     completed: usize,
+    /// Tasks that started after they had been done.
+    started_again: Vec<String>,
     /// Most tasks on machines at a time.
     peak: usize,
     /// CPU time that tasks were on machines, and that machines were rented.
@@ -313,6 +318,7 @@
             broken: Vec::new(),
             started: 0,
             completed: 0,
+            started_again: Vec::new(),
             peak: 0,
             used_us: 0,
             paid_us: 0,
@@ -689,6 +695,9 @@
         let (j, index) = Self::job_of(piece);
         let now = self.now;
         self.jobs[j].began_at.get_or_insert(now);
+        if self.jobs[j].done[index as usize] {
+            self.started_again.push(format!("{piece} on {at} at {:.1}", now as f64 / 1e6));
+        }
         let m = &self.machines[at];
         let job = &self.jobs[j];
         let mut faults: Vec<(&str, String)> = Vec::new();
@@ -1204,7 +1213,7 @@
     let job = jobs.get(j).filter(|job| job.submitted && i < job.tasks)?;
     Some(Facts {
         cpus: job.cpus,
-        run_us: (!job.service).then_some(job.run_us),
+        run_us: (!job.service).then_some(job.run_us + job.later_us * i as u64),
         tasks: job.tasks,
         save_us: job.save_us,
         fails: job.mistaken,
--- a/tests/world/meetings.rs
+++ b/tests/world/meetings.rs
@@ -393,3 +393,61 @@
         ),
     ]);
 }
+
+/// Jobs of two and three tasks whose ends are 20 s apart, while leaders end, one after
+/// the other, at every moment round the first ends. What is done is recorded before its
+/// worker may forget it, so that no leader's end makes a task run again, and `done` is
+/// said when all tasks are.
+#[test]
+fn tasks_that_end_far_apart_are_neither_lost_nor_run_again() {
+    // (what happens at milliseconds after a leader's end)
+    let after: [(&str, &[(u64, Act)]); 5] = [
+        ("it is back at once", &[(0, End(Leader, 0))]),
+        ("it stays away", &[(0, End(Leader, NEVER))]),
+        ("the next one ends, too", &[(0, End(Leader, 0)), (1500, End(All, 0))]),
+        ("the state service is away", &[(0, Away(300)), (50, End(Leader, 0))]),
+        ("it was refused before", &[(0, Refused(Leader, 500)), (1500, End(Leader, 0))]),
+    ];
+    let mut failed = Vec::new();
+    let mut done = 0;
+    for (name, acts) in after {
+        for nodes in [3, 7] {
+            for (seed, at) in (4..=11).map(|s| (s, s * S)) {
+                let size = Size { nodes, jobs: 0, busy_until: 0, ends: 600 * S, oncall: true, ..SMALL };
+                let mut w = World::new(seed, true, size);
+                w.oncall.over_at = u64::MAX;
+                w.run(30 * S);
+                for j in 0..10 {
+                    let tasks = 2 + j % 2;
+                    let body = json!({"ref": format!("j-{j:06}"), "lot": "small", "crew": "free",
+                        "manner": "array", "rank": "standard", "pieces": tasks, "cpus": 1.0, "gpus": 0.0,
+                        "memory_gb": 1.0, "bundle": "i", "image_gb": 0.4, "builds": null, "yard": null,
+                        "same_place": false, "apart": false, "loaners": false, "guess_s": 20.0,
+                        "mark_s": 0.0, "stow_s": 0.0, "due_s": null});
+                    let job = Job::new(body, "free", false, tasks, 1.0, 3 * S);
+                    w.jobs.push(Job { later_us: 20 * S, ..job });
+                }
+                let from = w.now + at;
+                w.run(from);
+                let leader = w.leader();
+                for (ms, act) in acts {
+                    w.run(from + ms * MS);
+                    w.act(leader, *act);
+                }
+                w.run(from + 200 * S);
+                let mut bad = w.broken.clone();
+                bad.extend(w.started_again.iter().map(|t| format!("again: {t}")));
+                let late = w.late();
+                if !late.is_empty() {
+                    bad.push(format!("{late:?} are not over"));
+                }
+                done += w.jobs.iter().filter(|j| j.told_done).count();
+                if !bad.is_empty() {
+                    failed.push(format!("{name}, seed {seed}, {nodes} controllers: {bad:?}"));
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} plays failed:\n{}", failed.len(), failed.join("\n"));
+    assert_eq!(done, 5 * 2 * 8 * 10, "jobs whose users were told that they are done");
+}
