--- a/crates/core/src/deputy.rs
+++ b/crates/core/src/deputy.rs
@@ -15,6 +15,8 @@
 /// A leader that says nothing for so long is stood in for: as long as it may be cut off
 /// before it gives up, and a little.
 pub const SILENT: Micros = Micros::secs(4);
+/// The books are looked through so often.
+const LOOKED_AT: Micros = Micros::millis(200);
 /// A machine that has not answered, or still has a task, is asked again after this.
 const ASK_AGAIN: Micros = Micros::millis(1500);
 /// Machines asked at a time, beside the other work.
@@ -49,6 +51,7 @@
 pub struct Deputy {
     places: BTreeMap<MachineId, Place>,
     deleted: VecDeque<Micros>,
+    looked: Micros,
 }
 
 impl Deputy {
@@ -61,18 +64,22 @@
     pub fn tick(
         &mut self,
         book: &Book,
-        cancelled: &[(JobId, Micros)],
+        cancelled: &BTreeMap<JobId, Micros>,
         cancel: Micros,
         machines: usize,
         now: Micros,
     ) -> Vec<Act> {
+        if now.since(self.looked) < LOOKED_AT {
+            return Vec::new();
+        }
+        self.looked = now;
         // The same part of the time as a leader's (`leader/blocks.rs`); the machines are
         // asked well before.
         let (ask_from, delete_from) = (cancel.scale(30, 100), cancel.scale(65, 100));
         let mut ask = Vec::new();
         let mut doomed = Vec::new();
         for (task, e) in &book.tasks {
-            let Some((_, since)) = cancelled.iter().find(|(j, _)| *j == task.job) else { continue };
+            let Some(since) = cancelled.get(&task.job) else { continue };
             if now.since(*since) < ask_from {
                 continue;
             }
--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -78,7 +78,7 @@
 
 impl Cancellations {
     /// Cancellations of which something may be left, and since when they are known here.
-    pub fn unsettled(&self) -> Vec<(JobId, Micros)> {
+    pub fn unsettled(&self) -> BTreeMap<JobId, Micros> {
         self.jobs.iter().map(|(job, k)| (*job, k.since)).collect()
     }
 }
