--- a/crates/core/src/deputy.rs
+++ b/crates/core/src/deputy.rs
@@ -149,3 +149,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -362,24 +362,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn frames_round_trip_and_bad_ones_are_refused() {
-        let e = Envelope {
-            from: NodeId(1),
-            incarnation: 9,
-            message: Message::Ping { state_ok: true, hears: vec![NodeId(2)], queued: 3, loaded: true },
-        };
-        let f = encode(&e).unwrap();
-        let head: [u8; HEAD] = f[..HEAD].try_into().unwrap();
-        assert_eq!(decode_head(head).unwrap(), f.len() - HEAD);
-        assert_eq!(decode_body(&f[HEAD..]).unwrap(), e);
-        assert!(decode_head([0, 0, 0, 0, VERSION + 1]).is_err());
-        assert!(decode_head([0xff, 0xff, 0xff, 0xff, VERSION]).is_err());
-        for cut in 0..f.len() - HEAD {
-            assert!(decode_body(&f[HEAD..HEAD + cut]).is_err());
-        }
-    }
-}
+mod tests;
