Bounded attempts go to other machines than the one that failed them

Cause: a Nomad batch job used up its attempts on one faulty machine within seconds: jobs with bounded attempts did not avoid machines on which they had failed, and a machine that fails every task is the one with room. Change: they avoid such machines as others do, for 15 s from each failure at most.

--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -193,9 +193,7 @@
     /// The best machine for one more task of the job.
     pub(super) fn find(&self, run: &Run, zones: &BTreeMap<String, u32>, now: Micros) -> Option<MachineId> {
         let spec = &run.spec;
-        // Whose attempts are bounded uses them up where there is room: waiting
-        // for another machine would only put off its end.
-        let again = run.proven || spec.attempts.is_some() || run.failed_on.len() > 3;
+        let again = run.may_go_back(now);
         self.rooms.best(&Asked { spec, zones }, |id| {
             let m = self.machines.get(id)?;
             let gathers = m.gathers_for(now).is_some_and(|job| job != spec.id);
--- a/crates/core/src/leader/run.rs
+++ b/crates/core/src/leader/run.rs
@@ -24,6 +24,10 @@
 /// A job of which so many tasks failed, on several machines, and none ran well.
 pub(super) const MISTAKEN: u32 = 3;
 
+/// A job whose attempts are bounded waits so long for a machine on which it has not failed:
+/// a boot or two. A faulty machine is the one with room, since nothing stays on it.
+pub(super) const ELSEWHERE: Micros = Micros::secs(15);
+
 /// A job as the leader runs it.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -132,6 +136,19 @@
     pub(super) fn mistaken(&self) -> bool {
         !self.proven && self.spec.attempts.is_none() && self.failures > MISTAKEN && self.failed_on.len() > 1
     }
+    /// Whether its tasks may go to machines on which some have failed: it runs well
+    /// elsewhere, so that the machine is judged by others' failures too, or it has failed
+    /// on several. Bounded attempts were once used up within a second by a faulty machine;
+    /// but a job's end is put off for a time only.
+    pub(super) fn may_go_back(&self, now: Micros) -> bool {
+        let waited = self.spec.attempts.is_some() && now >= self.retry_at + ELSEWHERE;
+        self.proven || self.failed_on.len() > 3 || waited
+    }
+    /// When it may, if that is a matter of time.
+    pub(super) fn goes_back_at(&self, now: Micros) -> Option<Micros> {
+        let waits = self.spec.attempts.is_some() && !self.failed_on.is_empty() && !self.may_go_back(now);
+        waits.then(|| self.retry_at + ELSEWHERE)
+    }
     /// How many of its tasks may be handed out now.
     pub(super) fn may_start(&self) -> u32 {
         if self.mistaken() { self.bound.is_empty() as u32 } else { self.waiting() }
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -176,10 +176,11 @@
         let mut ready: Vec<JobId> = Vec::new();
         let (mut overdue, mut begun): (Vec<(u64, JobId)>, Vec<JobId>) = Default::default();
         for (id, run) in self.jobs.iter_mut().filter(|(_, r)| !r.over && !r.held) {
-            if run.retry_at > now {
-                let next = waiting.retry.map_or(run.retry_at, |t| t.min(run.retry_at));
-                waiting.retry = Some(next);
-            } else if run.used_up().is_none() && run.peek().is_some() && !run.held_back() {
+            let later = if run.retry_at > now { Some(run.retry_at) } else { run.goes_back_at(now) };
+            if let Some(at) = later {
+                waiting.retry = Some(waiting.retry.map_or(at, |t| t.min(at)));
+            }
+            if run.retry_at <= now && run.used_up().is_none() && run.peek().is_some() && !run.held_back() {
                 ready.push(*id);
             }
         }
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -516,6 +516,47 @@
     assert_eq!((fails(&b), b.attempt(task(1, 0))), (0, None));
 }
 
+/// A faulty machine is the one with room: a job's bounded attempts go elsewhere while
+/// there is, or may soon be, an elsewhere.
+#[test]
+fn bounded_attempts_are_not_used_up_on_one_machine() {
+    // (machines, proven to run well, seconds after the failure; where it goes)
+    let cases: [(usize, bool, u32, Option<&str>); 5] = [
+        (1, false, 2, None),
+        (1, false, 14, None),
+        (1, false, 17, Some("m0")),
+        (1, true, 2, Some("m0")),
+        (2, false, 2, Some("m1")),
+    ];
+    for (machines, proven, seconds, want) in cases {
+        let mut b = Bench::new(1);
+        b.confirm("m0", &[]);
+        b.job(1, 60, "t", "array", "standard", 1, 8.0);
+        b.edit(1, 61, |s| s.attempts = Some(4));
+        b.leader.jobs.clear();
+        b.leader.job_changed(JobId(1), &b.ledger, b.now);
+        b.tick(30);
+        b.fail(1, 0);
+        b.leader.machines.get_mut(&m("m0")).unwrap().failures = 1;
+        b.leader.jobs.get_mut(&JobId(1)).unwrap().proven = proven;
+        b.save_failures(70);
+        if machines == 2 {
+            let v = json!({"t": "big", "z": "east", "s": false, "a": "addr1"});
+            b.ledger.apply(&keys::machine(&m("m1")), Some(&v), 71);
+            let sizes = Sizes::from([("big".into(), Resources::have(8.0, 0.0, 32.0))]);
+            let mut new = Machine::new(&b.ledger.machines[&m("m1")], sizes["big"], Stage::Up, b.now);
+            new.recorded = true;
+            b.leader.machines.insert(m("m1"), new);
+            b.tick(200);
+            b.confirm("m1", &[]);
+        }
+        b.pass(2 * seconds);
+        let run = &b.leader.jobs[&JobId(1)];
+        let hint = run.bound.get(&0).and_then(|x| x.handed.as_ref()).map(|h| h.hint.to_string());
+        assert_eq!(hint.as_deref(), want, "{machines} machines, proven {proven}, {seconds} s");
+    }
+}
+
 /// A change of the number of tasks: what is above is not started, what comes
 /// is, and what was done counts if it is still asked for.
 #[test]
