Cancellations end by proof, not by age; deputies by all books; stops go out again

Cause (read in the sources, each to be confirmed by a test on the sources before): - a new leader left out what was cancelled longer than cancel_s ago, and reckoned an earlier cancellation from its own process's beginning where its steady clock is younger; - a direct stop without an answer was never sent directly again, and to a worker that was quiet no stop went out at all; - a witness stood in with the books of the last term only, looked at one machine of a hand-out, not at those that the leader had not heard, and stood down for leaders that each ended within seconds; its budget could not do what was due; - a controller that lost everybody kept workers alive for ever.

--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -156,6 +156,10 @@
     pub fn get(&self, term: u64) -> Option<&Book> {
         self.books.get(&term).filter(|b| b.seq > 0)
     }
+    /// All that are kept, of the earliest term first.
+    pub fn all(&self) -> impl Iterator<Item = &Book> {
+        self.books.values().filter(|b| b.seq > 0)
+    }
     /// Books of terms before the one on record are of no use any more.
     pub fn drop_before(&mut self, term: u64) {
         self.books.retain(|t, _| *t >= term);
--- a/crates/core/src/controller/orders.rs
+++ b/crates/core/src/controller/orders.rs
@@ -135,7 +135,14 @@
             // seconds, though it is well: it is asked.
             // So is one whose last report doesn't show that it hears.
             let quiet = w.heard.is_some_and(|t| now.since(t) > ASKED_AFTER) || w.shift > 0 && !w.obeys;
-            if w.shift == 0 || quiet {
+            // Its stops go out all the same, and their answer is its report as well: a
+            // worker that reaches nobody hears of a cancellation in no other way.
+            let orders = match w.shift {
+                0 => Vec::new(),
+                _ => self.orders(&id, ledger, false, may_start && !quiet),
+            };
+            let Some(w) = self.workers.get_mut(&id) else { continue };
+            if w.shift == 0 || quiet && orders.is_empty() {
                 if w.announce || quiet {
                     let call = out.call(Call {
                         target: Target::Worker(w.addr.clone()),
@@ -145,23 +152,20 @@
                         timeout: ASK_TIMEOUT,
                     });
                     calls.push((call, id.clone()));
-                    if let Some(w) = self.workers.get_mut(&id) {
-                        w.direct = Some(DirectCall { call, runs: Vec::new(), status_only: true });
-                    }
+                    w.direct =
+                        Some(DirectCall { call, runs: Vec::new(), stops: Vec::new(), status_only: true });
                 }
                 continue;
             }
-            let orders = self.orders(&id, ledger, false, may_start);
-            let Some(w) = self.workers.get_mut(&id) else { continue };
             if orders.is_empty() && !w.announce {
                 continue;
             }
             w.announce = false;
-            let runs: Vec<(TaskId, Attempt)> = orders
-                .iter()
-                .filter(|o| o.verb == "run")
-                .filter_map(|o| Some((TaskId::parse(&o.piece)?, Attempt(o.attempt))))
-                .collect();
+            let sent = |verb: &str| -> Vec<(TaskId, Attempt)> {
+                let of_verb = orders.iter().filter(|o| o.verb == verb);
+                of_verb.filter_map(|o| Some((TaskId::parse(&o.piece)?, Attempt(o.attempt)))).collect()
+            };
+            let (runs, stops) = (sent("run"), sent("halt"));
             for k in &runs {
                 if let Some(s) = w.starts.get_mut(k) {
                     s.sending = Sending::InFlight;
@@ -175,7 +179,7 @@
                 body: serde_json::to_vec(&body).unwrap_or_default(),
                 timeout: Micros::millis(2000),
             });
-            w.direct = Some(DirectCall { call, runs, status_only: false });
+            w.direct = Some(DirectCall { call, runs, stops, status_only: false });
             calls.push((call, id));
         }
         calls
@@ -200,6 +204,15 @@
                 s.sending = fate;
             }
         }
+        // A stop that was not carried out goes out again, and so does one that may not have
+        // been, where there is nothing to save: it does no harm twice, and a worker that
+        // reaches nobody hears it in no other way.
+        let done = matches!(result, CallResult::Answer { status: 200, .. });
+        for k in d.stops.iter().filter(|_| !done) {
+            if let Some(s) = w.stops.get_mut(k).filter(|s| fate == Sending::Settled || s.grace.0 == 0) {
+                s.sent_direct = false;
+            }
+        }
         match result {
             CallResult::Answer { status: status @ (200 | 409), body } => {
                 let report: Option<Report> = serde_json::from_slice(body).ok();
--- a/crates/core/src/controller/worker.rs
+++ b/crates/core/src/controller/worker.rs
@@ -30,6 +30,7 @@
 pub(super) struct DirectCall {
     pub(super) call: CallId,
     pub(super) runs: Vec<(TaskId, Attempt)>,
+    pub(super) stops: Vec<(TaskId, Attempt)>,
     pub(super) status_only: bool,
 }
 
@@ -37,6 +38,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Stop {
     pub(super) grace: Micros,
+    /// It went out by a direct call that is open, or was carried out.
     pub(super) sent_direct: bool,
 }
 
--- a/crates/core/src/deputy.rs
+++ b/crates/core/src/deputy.rs
@@ -1,32 +1,44 @@
-//! A witness in place of a leader that is silent: cancelled tasks go from their
-//! machines even if nobody can lead.
+//! A witness in place of a leader that is silent, or that has not led for long enough to
+//! act: cancelled tasks go from their machines even if nobody can lead.
 //!
 //! Invariant: nothing is started, granted or freed here. A stop does no harm, and a
 //! deletion needs no leadership: a later leader finds the machine gone, or deletes it
-//! once more. Where the tasks are, the books say; they are complete (`crate::books`),
-//! and late only with places that are left since, so a machine is asked before it is
-//! deleted. An answer without the task proves it gone, except where its start may still
-//! be on the way.
-use crate::books::Book;
-use gorseshore_protocol::ids::{JobId, MachineId, Micros};
+//! once more. Where the tasks may be, the books say (`Node::suspects`); they are late only
+//! with places that are left since, so a machine is asked before it is deleted. An answer
+//! without the task proves it gone, except where its start may still be on the way: then
+//! the worker has to have shown that very attempt.
+use gorseshore_protocol::ids::{Attempt, MachineId, Micros, TaskId};
 use gorseshore_protocol::workers::{Direct, Order, Report};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A leader that says nothing for so long is stood in for: as long as it may be cut off
-/// before it gives up, and a little.
+/// before it gives up, and a little. One that has not led for so long, too.
 pub const SILENT: Micros = Micros::secs(4);
-/// The books are looked through so often.
+/// Looked at so often.
 const LOOKED_AT: Micros = Micros::millis(200);
 /// A machine that has not answered, or still has a task, is asked again after this.
 const ASK_AGAIN: Micros = Micros::millis(1500);
 /// Machines asked at a time, beside the other work.
 const ASKED_AT_ONCE: usize = 25;
-/// A deletion without an answer is sent again after this.
+/// A deletion without an answer is sent again after this; one that was refused, sooner.
 const DELETE_AGAIN: Micros = Micros::secs(3);
-/// The share of the machines that may be deleted in `BUDGET_TIME`, two at least.
+const REFUSED_AGAIN: Micros = Micros::millis(600);
+/// Deletions are sent no more often than this.
+const DELETE_EVERY: Micros = Micros::millis(400);
+/// Most names of a deletion.
+const NAMES: usize = 100;
+/// The share of the machines that is deleted in `BUDGET_TIME` while there is time; two at
+/// least. What can't be done so in time goes faster: the rule comes before the money.
 const BUDGET: usize = 20;
 const BUDGET_TIME: Micros = Micros::secs(10);
 
+/// By when a cancelled job's tasks have to be gone whose user may have been told at a time
+/// of day, with a second for the difference between the clocks. A process's steady clock
+/// may be younger than that: it counts from what is left, not from what is past.
+pub fn gone_by(at_ms: u64, wall_ms: u64, cancel: Micros, now: Micros) -> Micros {
+    (now + cancel) - Micros::millis((wall_ms + 1000).saturating_sub(at_ms))
+}
+
 /// What is to be done.
 #[derive(Debug, PartialEq)]
 pub enum Act {
@@ -36,115 +48,175 @@
     Delete(Vec<MachineId>),
 }
 
-/// A machine that may hold a cancelled task.
+/// A machine where cancelled tasks may be.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Suspect {
+    /// By when they have to be gone; the earliest.
+    pub by: Micros,
+    /// Starts that may still be on their way there.
+    pub starts: BTreeSet<(TaskId, Attempt)>,
+}
+
+/// What is known of a suspect.
 #[derive(Debug, Default)]
 struct Place {
+    first_asked: Option<Micros>,
     asked: Option<Micros>,
-    /// When it was asked for the report that shows no cancelled task.
-    clean: Option<Micros>,
-    deleting: Option<Micros>,
+    /// Its last report showed no cancelled task.
+    clean: bool,
+    /// Attempts that it showed: their starts have arrived.
+    shown: BTreeSet<(TaskId, Attempt)>,
+    /// A deletion was sent, and goes again at that time.
+    again_at: Option<Micros>,
     gone: bool,
 }
 
-/// The stand-in's state.
+/// The deputy's state.
 #[derive(Debug, Default)]
 pub struct Deputy {
+    /// The highest term that is known, and since when.
+    term: (u64, Micros),
     places: BTreeMap<MachineId, Place>,
     deleted: VecDeque<Micros>,
     looked: Micros,
+    delete_at: Micros,
 }
 
 impl Deputy {
+    /// Whether a leader that leads now in `term` has led for long enough to have taken
+    /// over what is due. A string of leaders that each end before leaves it to deputies.
+    pub fn long_led(&mut self, term: u64, now: Micros) -> bool {
+        if self.term.0 != term {
+            self.term = (term, now);
+        }
+        now.since(self.term.1) >= SILENT
+    }
+
     /// Somebody leads: it does all this, and better.
     pub fn stand_down(&mut self) {
         self.places.clear();
     }
 
-    /// What is due for jobs that were cancelled, and since when that is known here.
+    /// Whether it is time to look.
+    pub fn due(&mut self, now: Micros) -> bool {
+        let due = now.since(self.looked) >= LOOKED_AT;
+        if due {
+            self.looked = now;
+        }
+        due
+    }
+
+    /// What is due at these machines, of so many in all.
     pub fn tick(
         &mut self,
-        book: &Book,
-        cancelled: &BTreeMap<JobId, Micros>,
+        suspects: &BTreeMap<MachineId, Suspect>,
         cancel: Micros,
         machines: usize,
         now: Micros,
     ) -> Vec<Act> {
-        if now.since(self.looked) < LOOKED_AT {
-            return Vec::new();
-        }
-        self.looked = now;
-        // The same part of the time as a leader's (`leader/blocks.rs`); the machines are
-        // asked well before.
-        let (ask_from, delete_from) = (cancel.scale(30, 100), cancel.scale(65, 100));
+        // The same part of the time as a leader's (`leader/blocks.rs`), and all is sent when
+        // a twentieth is left; the machines are asked well before.
+        let (ask_before, delete_before) = (cancel.scale(70, 100), cancel.scale(35, 100));
+        let mut order: Vec<(Micros, &MachineId)> = suspects.iter().map(|(id, s)| (s.by, id)).collect();
+        order.sort();
         let mut ask = Vec::new();
         let mut doomed = Vec::new();
-        for (task, e) in &book.tasks {
-            let Some(since) = cancelled.get(&task.job) else { continue };
-            if now.since(*since) < ask_from {
+        for (by, id) in order {
+            if now < by - ask_before {
+                break;
+            }
+            let starts = &suspects[id].starts;
+            let p = self.places.entry(id.clone()).or_default();
+            if p.gone || p.clean && starts.is_subset(&p.shown) {
                 continue;
             }
-            let hint = e.handed.as_ref().map(|(hint, _)| hint);
-            for id in e.on.iter().chain(hint) {
-                let p = self.places.entry(id.clone()).or_default();
-                let open = e.starting || e.handed.is_some();
-                if p.gone || !open && p.clean.is_some_and(|t| t > *since) {
-                    continue;
-                }
-                if p.asked.is_none_or(|t| now.since(t) >= ASK_AGAIN) && ask.len() < ASKED_AT_ONCE {
-                    p.asked = Some(now);
-                    ask.push(id.clone());
-                }
-                let due = p.deleting.is_none_or(|t| now.since(t) >= DELETE_AGAIN);
-                if now.since(*since) >= delete_from && due {
-                    doomed.push((*since, id.clone(), p.deleting.is_some()));
-                }
+            if p.asked.is_none_or(|t| now.since(t) >= ASK_AGAIN) {
+                ask.push((p.asked, by, id.clone()));
+            }
+            let answered = p.first_asked.is_some_and(|t| now.since(t) >= ASK_AGAIN);
+            if now >= by - delete_before && answered && p.again_at.is_none_or(|t| now >= t) {
+                doomed.push((by, id.clone(), p.again_at.is_some()));
             }
         }
-        doomed.sort();
-        doomed.dedup_by(|a, b| a.1 == b.1);
+        // Who was never asked comes first: those that don't answer are asked for ever.
+        ask.sort();
+        ask.truncate(ASKED_AT_ONCE);
+        for (.., id) in &ask {
+            if let Some(p) = self.places.get_mut(id) {
+                p.first_asked.get_or_insert(now);
+                p.asked = Some(now);
+                p.clean = false;
+            }
+        }
+        let mut acts = Vec::new();
+        if !ask.is_empty() {
+            acts.push(Act::Ask(ask.into_iter().map(|(.., id)| id).collect()));
+        }
+        if now < self.delete_at {
+            return acts;
+        }
+        let delete = self.choose(doomed, cancel, machines, now);
+        if !delete.is_empty() {
+            self.delete_at = now + DELETE_EVERY;
+            acts.push(Act::Delete(delete));
+        }
+        acts
+    }
+
+    /// Which of the machines that are due go now, the earliest first: the budget's, and
+    /// more where it would not be done in time.
+    fn choose(
+        &mut self,
+        doomed: Vec<(Micros, MachineId, bool)>,
+        cancel: Micros,
+        machines: usize,
+        now: Micros,
+    ) -> Vec<MachineId> {
         while self.deleted.front().is_some_and(|t| now.since(*t) >= BUDGET_TIME) {
             self.deleted.pop_front();
         }
+        let new = doomed.iter().filter(|(.., again)| !again).count();
+        let last = doomed.first().map_or(now, |(by, ..)| *by - cancel.scale(5, 100));
+        let share = (machines / BUDGET).max(2);
+        let budget = share.saturating_sub(self.deleted.len());
+        let in_time = budget + share * (last.since(now).0 / BUDGET_TIME.0) as usize;
+        let rounds = (last.since(now).0 / DELETE_EVERY.0).max(1) as usize;
+        let mut may = if new <= in_time { budget } else { budget.max(new.div_ceil(rounds)) };
         let mut delete = Vec::new();
         for (_, id, again) in doomed {
-            if !again && self.deleted.len() >= (machines / BUDGET).max(2) {
-                break;
+            if delete.len() >= NAMES || !again && may == 0 {
+                continue;
             }
             if !again {
+                may -= 1;
                 self.deleted.push_back(now);
             }
             if let Some(p) = self.places.get_mut(&id) {
-                p.deleting = Some(now);
+                p.again_at = Some(now + DELETE_AGAIN);
             }
             delete.push(id);
         }
-        let mut acts = Vec::new();
-        if !ask.is_empty() {
-            acts.push(Act::Ask(ask));
-        }
-        if !delete.is_empty() {
-            delete.truncate(100);
-            acts.push(Act::Delete(delete));
-        }
-        acts
+        delete
     }
 
     /// A machine answered: the stops for what is over there, under the token and the
     /// session that it showed, so that a newer grant is not touched.
     pub fn answered(&mut self, r: &Report, unwanted: Vec<Order>) -> Option<Direct> {
         let p = self.places.get_mut(&MachineId::from(&*r.host))?;
-        if unwanted.is_empty() {
-            p.clean = p.asked;
-            return None;
-        }
-        Some(Direct { baton: r.baton, shift: r.shift, orders: unwanted })
+        let shown = r.pieces.iter().filter_map(|t| Some((TaskId::parse(&t.piece)?, Attempt(t.attempt))));
+        p.shown.extend(shown);
+        p.clean = unwanted.is_empty();
+        (!p.clean).then(|| Direct { baton: r.baton, shift: r.shift, orders: unwanted })
     }
 
-    /// A deletion was carried out.
-    pub fn deleted(&mut self, ids: &[MachineId]) {
+    /// A deletion ended: it was carried out, or refused, or nobody knows.
+    pub fn deleted(&mut self, ids: &[MachineId], done: Option<bool>, now: Micros) {
         for id in ids {
             if let Some(p) = self.places.get_mut(id) {
-                p.gone = true;
+                p.gone |= done == Some(true);
+                if done == Some(false) {
+                    p.again_at = Some(now + REFUSED_AGAIN);
+                }
             }
         }
     }
--- a/crates/core/src/deputy/tests.rs
+++ b/crates/core/src/deputy/tests.rs
@@ -1,65 +1,140 @@
 use super::*;
-use crate::books::{Entry, Page};
-use gorseshore_protocol::ids::{Attempt, TaskId};
+use gorseshore_protocol::ids::JobId;
 
 const CANCEL: Micros = Micros::secs(100);
+const TOLD: Micros = Micros::secs(1000);
 
-/// Books with one task of the job on each machine; `starting`: it may not have arrived.
-fn books(machines: usize, starting: bool) -> Book {
-    let entry = |i: usize| Entry {
-        attempt: Attempt(9),
-        on: vec![MachineId::from(&*format!("m{i}"))],
-        starting,
-        done: false,
-        handed: None,
-    };
-    let task = |i: usize| TaskId { job: JobId(1), index: i as u32 };
-    let tasks = (0..machines).map(|i| (task(i), Some(entry(i)))).collect();
-    Book::of(Page { term: 1, seq: 1, base: 0, tasks, unknown: Vec::new() }).unwrap()
+fn task(i: usize) -> (TaskId, Attempt) {
+    (TaskId { job: JobId(1), index: i as u32 }, Attempt(9))
+}
+
+/// One task of a cancelled job on each machine; `starting`: it may not have arrived.
+fn suspects(machines: usize, starting: bool) -> BTreeMap<MachineId, Suspect> {
+    let suspect =
+        |i: usize| Suspect { by: TOLD + CANCEL, starts: starting.then(|| task(i)).into_iter().collect() };
+    (0..machines).map(|i| (MachineId::from(&*format!("m{i}")), suspect(i))).collect()
+}
+
+/// What a machine answers to a question.
+#[derive(Clone, Copy, PartialEq)]
+enum Says {
+    Nothing,
+    /// No task.
+    Empty,
+    /// The task, stopped.
+    Stopped,
 }
+use Says::*;
 
-fn report(host: &str) -> Report {
+fn report(host: &str, says: Says) -> Report {
+    let i: usize = host[1..].parse().unwrap();
+    let (t, a) = task(i);
+    let pieces = match says {
+        Stopped => vec![
+            serde_json::json!({"piece": t.to_string(), "try": a.0, "stage": "exited", "cause": "halted"}),
+        ],
+        _ => Vec::new(),
+    };
     serde_json::from_value(serde_json::json!({"host": host, "addr": "a", "build": "b", "yard": "z",
-        "loaners": false, "shift": 1, "tally": 5, "baton": 7, "warning_s": null, "pieces": []}))
+        "loaners": false, "shift": 1, "tally": 5, "baton": 7, "warning_s": null, "pieces": pieces}))
     .unwrap()
 }
 
-#[test]
-fn what_does_not_prove_its_task_gone_is_deleted_within_the_budget() {
-    // (machines with a task, of how many in all, starts may be on the way, all answer
-    // without the task; deleted by then)
-    let cases = [
-        (1, 40, false, true, 0),
-        (1, 40, true, true, 1),
-        (1, 40, false, false, 1),
-        (5, 40, false, false, 2),
-        (5, 200, false, false, 5),
-    ];
-    for (i, (n, all, starting, answers, want)) in cases.into_iter().enumerate() {
-        let book = books(n, starting);
-        let cancelled = BTreeMap::from([(JobId(1), Micros::secs(1000))]);
-        let mut d = Deputy::default();
-        let mut deleted = BTreeMap::new();
-        // Up to the first deletions, and a little: the budget is for 10 s.
-        for ms in (0..68_000).step_by(100) {
-            let now = Micros::secs(1000) + Micros::millis(ms);
-            for act in d.tick(&book, &cancelled, CANCEL, all, now) {
-                match act {
-                    Act::Ask(ids) => {
-                        assert!(ms >= 30_000, "case {i}: asked at {ms}");
-                        for id in ids.iter().filter(|_| answers) {
-                            assert!(d.answered(&report(id.as_str()), Vec::new()).is_none());
-                        }
+/// Plays a deputy's time; how many machines were deleted at 68 s and when all was over.
+fn play(n: usize, all: usize, starting: bool, says: Says, cloud_from: u64) -> (usize, usize) {
+    let suspects = suspects(n, starting);
+    let mut d = Deputy::default();
+    let (mut early, mut gone) = (0, BTreeSet::new());
+    for ms in (0..96_000).step_by(100) {
+        let now = TOLD + Micros::millis(ms);
+        if !d.due(now) {
+            continue;
+        }
+        for act in d.tick(&suspects, CANCEL, all, now) {
+            match act {
+                Act::Ask(ids) => {
+                    assert!(ms >= 30_000, "asked at {ms}");
+                    assert!(ids.len() <= ASKED_AT_ONCE);
+                    for id in ids.iter().filter(|_| says != Nothing) {
+                        assert!(d.answered(&report(id.as_str(), says), Vec::new()).is_none());
                     }
-                    Act::Delete(ids) => {
-                        assert!(ms >= 65_000, "case {i}: deleted at {ms}");
-                        d.deleted(&ids);
-                        ids.into_iter().for_each(|id| *deleted.entry(id).or_insert(0) += 1);
+                }
+                Act::Delete(ids) => {
+                    assert!(ms >= 65_000, "deleted at {ms}");
+                    assert!(ids.len() <= NAMES);
+                    let done = ms >= cloud_from;
+                    d.deleted(&ids, Some(done), now);
+                    if done {
+                        ids.into_iter().for_each(|id| assert!(gone.insert(id), "deleted twice at {ms}"));
                     }
                 }
             }
         }
-        assert_eq!(deleted.len(), want, "case {i}: {deleted:?}");
-        assert!(deleted.values().all(|n| *n == 1), "case {i}: {deleted:?}");
+        if ms < 68_000 {
+            early = gone.len();
+        }
+    }
+    (early, gone.len())
+}
+
+#[test]
+fn what_does_not_prove_its_task_gone_is_deleted_in_time() {
+    // (machines with a task, of how many in all, starts may be on the way, what all
+    // answer, from when on the cloud works; deleted at 68 s, and before the time is up)
+    let cases = [
+        (1, 40, false, Empty, 0, 0, 0),
+        (1, 40, true, Empty, 0, 1, 1),
+        // The start has arrived: it can't come once more.
+        (1, 40, true, Stopped, 0, 0, 0),
+        (1, 40, false, Nothing, 0, 1, 1),
+        (5, 40, false, Nothing, 0, 2, 5),
+        (5, 200, false, Nothing, 0, 5, 5),
+        // A zone, or everything: what the budget can't do is spread over the time.
+        (40, 40, false, Nothing, 0, 9, 40),
+        (500, 2000, true, Nothing, 0, 142, 500),
+        (2000, 2000, false, Nothing, 0, 282, 2000),
+        // The cloud is out of order for a third of the time there is.
+        (40, 40, false, Nothing, 80_000, 0, 40),
+    ];
+    for (i, (n, all, starting, says, cloud_from, early, in_time)) in cases.into_iter().enumerate() {
+        assert_eq!(play(n, all, starting, says, cloud_from), (early, in_time), "case {i}");
+    }
+}
+
+/// A machine that was deleted before it could answer would cost what is well.
+#[test]
+fn nothing_is_deleted_before_it_was_asked() {
+    let mut d = Deputy::default();
+    let late = TOLD + CANCEL + Micros::secs(500);
+    for ms in (0..1500).step_by(200) {
+        for act in d.tick(&suspects(3, true), CANCEL, 40, late + Micros::millis(ms)) {
+            assert!(matches!(act, Act::Ask(_)), "{act:?} after {ms} ms");
+        }
+    }
+    let acts = d.tick(&suspects(3, true), CANCEL, 40, late + ASK_AGAIN);
+    assert!(acts.iter().any(|a| matches!(a, Act::Delete(ids) if ids.len() == 3)), "{acts:?}");
+}
+
+#[test]
+fn a_string_of_leaders_is_not_a_leader() {
+    let mut d = Deputy::default();
+    // (seconds, term; led for long)
+    let steps = [(0, 1, false), (3, 1, false), (4, 1, true), (5, 2, false), (8, 3, false), (13, 3, true)];
+    for (s, term, want) in steps {
+        assert_eq!(d.long_led(term, TOLD + Micros::secs(s)), want, "term {term} at {s} s");
+    }
+}
+
+/// A controller that is back in a blink and leads has a steady clock that began later than
+/// the cancellation: it once counted the whole time from its own beginning.
+#[test]
+fn what_is_left_does_not_depend_on_the_age_of_a_process() {
+    // (cancelled so many seconds ago, the process's clock; left, with a second for clocks)
+    for (ago, clock, left) in [(0, 1, 99), (30, 1, 69), (30, 5000, 69), (98, 1, 1), (99, 1, 0)] {
+        let now = Micros::secs(clock);
+        let by = gone_by(1_000_000, 1_000_000 + ago * 1000, CANCEL, now);
+        assert_eq!(by.since(now), Micros::secs(left), "{ago} s ago, at {clock} s");
     }
+    let long_over = gone_by(0, 10_000_000, CANCEL, Micros::secs(1));
+    assert_eq!(long_over, Micros(0));
 }
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -107,7 +107,7 @@
             }
         }
         if !self.held.is_empty() {
-            self.release(ledger, now);
+            self.release(ledger);
         }
         // Passes over the whole fleet: often enough for what they watch.
         if now.since(self.blocks_at) >= BLOCKS_EVERY {
@@ -321,33 +321,31 @@
 
     /// A cancelled job's task that can't be stopped goes with its machine.
     pub(super) fn watch_cancelled(&mut self, ledger: &Ledger, now: Micros) {
-        // Early enough for a cloud that is out of order for a while.
-        let deadline = self.ctx.cancel.scale(65, 100);
-        // A new leader first hears what its controllers know.
-        if now.since(self.began) < Micros::secs(4) {
-            return;
-        }
         let mut doomed = Vec::new();
         let mut over = Vec::new();
-        for (job, at) in &self.aborted {
-            let late = now.since(*at) > deadline;
+        for (job, by) in &self.aborted {
             let run = self.jobs.get(job);
-            if run.is_none_or(|r| r.bound.is_empty()) && now.since(*at) > self.ctx.cancel.scale(2, 1) {
+            // What is not recorded as gone stays here until it is: a machine that could
+            // hold it may turn up at any later time.
+            let record = ledger.jobs.get(job).filter(|j| !j.settled);
+            if run.is_none_or(|r| r.bound.is_empty()) && record.is_none() && now > *by + self.ctx.cancel {
                 over.push(*job);
             }
-            if !late {
-                continue;
+            if now >= self.deletion_due(*by, 95, Micros::millis(1500)) {
+                let places = run
+                    .iter()
+                    .flat_map(|r| r.bound.values())
+                    .flat_map(|b| b.on.iter().chain(b.handed.iter().flat_map(|h| h.machines.iter())));
+                doomed.extend(places.map(|id| (id.clone(), *job)));
             }
-            let places = run
-                .iter()
-                .flat_map(|r| r.bound.values())
-                .flat_map(|b| b.on.iter().chain(b.handed.iter().flat_map(|h| h.machines.iter())));
-            doomed.extend(places.map(|id| (id.clone(), *job)));
             // Machines that nobody heard in this term may hold its tasks.
-            let spec = ledger.jobs.get(job).and_then(|j| j.spec.as_ref());
-            for (id, m) in self.machines.iter().filter(|(_, m)| m.unknown) {
-                if spec.is_some_and(|s| s.allows(&m.build, &m.zone, m.spot, &m.size)) {
-                    doomed.push((id.clone(), *job));
+            if now >= self.deletion_due(*by, 90, Micros::millis(2500))
+                && let Some(spec) = record.and_then(|j| j.spec.as_ref())
+            {
+                for (id, m) in self.machines.iter().filter(|(_, m)| m.unknown) {
+                    if spec.allows(&m.build, &m.zone, m.spot, &m.size) {
+                        doomed.push((id.clone(), *job));
+                    }
                 }
             }
         }
@@ -365,6 +363,19 @@
         });
     }
 
+    /// When machines go that may hold tasks which have to be gone `by` then: early enough
+    /// for a cloud that is out of order for a while. A new leader first hears what its
+    /// controllers know, but not beyond `last` hundredths of the time that there was from
+    /// the telling on: a string of leaders that each begin to wait must not use it up. One
+    /// that begins after that, or has not had `least` by then, takes its whole time; what is
+    /// left in time is the deputies' (`crate::deputy`).
+    fn deletion_due(&self, by: Micros, last: u64, least: Micros) -> Micros {
+        let heard = self.began + Micros::secs(4);
+        let last = by - self.ctx.cancel.scale(100 - last, 100);
+        let wait = if last >= self.began + least { heard.min(last) } else { heard };
+        wait.max(by - self.ctx.cancel.scale(35, 100))
+    }
+
     pub(super) fn delete(&mut self, id: &MachineId, why: &str, now: Micros) {
         let Some(m) = self.machines.get_mut(id) else { return };
         if m.stage == Stage::Deleting {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -178,6 +178,8 @@
     /// Deletions told before this are forgotten.
     forgotten: u64,
     jobs: BTreeMap<JobId, Run>,
+    /// Cancelled jobs that are not proven to be nowhere, and by when their tasks have to
+    /// be gone.
     aborted: BTreeMap<JobId, Micros>,
     /// Hand-outs whose outcome is not known.
     handouts: BTreeMap<Attempt, OnItsWay>,
@@ -310,13 +312,15 @@
             l.machines.insert(id.clone(), m);
         }
         for (id, job) in &ledger.jobs {
-            // An earlier cancellation counts from its time of day, with a
-            // second for the difference between the clocks. One that is long
-            // over was dealt with, or can't be helped any more.
-            let ago = Micros::millis((wall_ms + 1000).saturating_sub(job.ended_ms));
+            // What ends a cancellation is the proof that it is nowhere, never its age: a
+            // user may have been told long after its record, and whatever is left of it
+            // breaks the rule at any later time.
             match job.phase {
-                Phase::Aborted if ago > l.ctx.cancel || job.settled => {}
-                Phase::Aborted => drop(l.aborted.insert(*id, now - ago)),
+                Phase::Aborted if job.settled => {}
+                Phase::Aborted => {
+                    let by = crate::deputy::gone_by(job.ended_ms, wall_ms, l.ctx.cancel, now);
+                    l.aborted.insert(*id, by);
+                }
                 _ => l.job_changed(*id, ledger, now),
             }
         }
@@ -401,7 +405,7 @@
             }
             Phase::Aborted if job.settled => {}
             Phase::Aborted => {
-                self.aborted.entry(id).or_insert(now);
+                self.aborted.entry(id).or_insert(now + self.ctx.cancel);
                 self.stops_at = Micros(0);
             }
             Phase::Done => {}
@@ -420,15 +424,15 @@
     /// cancellation: also one that was on record for long.
     pub fn told_cancelled(&mut self, id: JobId, ledger: &Ledger, now: Micros) {
         if ledger.jobs.get(&id).is_some_and(|j| j.phase == Phase::Aborted && !j.settled) {
-            self.aborted.entry(id).or_insert(now);
+            self.aborted.entry(id).or_insert(now + self.ctx.cancel);
         }
     }
 
     /// Lets go of jobs that wait for the end of the one that they replace.
-    fn release(&mut self, ledger: &Ledger, now: Micros) {
+    fn release(&mut self, ledger: &Ledger) {
         let free = |id: &JobId| {
             let run = self.jobs.get(id);
-            run.is_none_or(|r| r.spec.after.iter().all(|a| self.gone_for_good(*a, ledger, now)))
+            run.is_none_or(|r| r.spec.after.iter().all(|a| self.gone_for_good(*a, ledger)))
         };
         let free: Vec<JobId> = self.held.iter().filter(|id| free(id)).copied().collect();
         for id in free {
@@ -441,19 +445,30 @@
         }
     }
 
-    /// Whether nothing of a job is on any machine, nor can come there: it is
-    /// over, no task of it is bound, and if it was cancelled, that is settled,
-    /// or so long ago that the machines where it could be are gone.
-    fn gone_for_good(&self, id: JobId, ledger: &Ledger, now: Micros) -> bool {
-        if self.jobs.get(&id).is_some_and(|r| !r.bound.is_empty()) {
-            return false;
-        }
-        let Some(job) = ledger.jobs.get(&id) else { return true };
-        let long_ago = job.ended_ms + self.ctx.cancel.0 / 1000 + 2000 < self.wall_ms(now);
-        match job.phase {
+    /// Whether nothing of a job is on any machine, nor can come there: it is over, no
+    /// task of it is bound, and if it was cancelled, that is on record.
+    fn gone_for_good(&self, id: JobId, ledger: &Ledger) -> bool {
+        let bound = self.jobs.get(&id).is_some_and(|r| !r.bound.is_empty());
+        let settled = |job: &Job| match job.phase {
             Phase::Active => false,
             Phase::Done => true,
-            Phase::Aborted => job.settled || long_ago,
-        }
+            Phase::Aborted => job.settled,
+        };
+        !bound && ledger.jobs.get(&id).is_none_or(settled)
+    }
+
+    /// Whether nothing of a job that is over is on any machine, nor can come there: no
+    /// task of it is bound, and no machine that could hold one is unheard in this term.
+    pub(super) fn nowhere(&self, id: JobId, job: &Job) -> bool {
+        let unheard = |spec: &JobSpec| {
+            let mut unknown = self.machines.values().filter(|m| m.unknown);
+            unknown.any(|m| spec.allows(&m.build, &m.zone, m.spot, &m.size))
+        };
+        // Without its description, which is kept for long, any machine could.
+        let may = || match &job.spec {
+            Some(spec) => unheard(spec),
+            None => self.machines.values().any(|m| m.unknown),
+        };
+        self.jobs.get(&id).is_none_or(|r| r.bound.is_empty()) && !may()
     }
 }
--- a/crates/core/src/leader/records.rs
+++ b/crates/core/src/leader/records.rs
@@ -54,15 +54,10 @@
         }
         // A later leader, which doesn't know what became of a cancelled job's
         // tasks, would delete what machines it can't hear for its sake.
-        for (id, at) in &self.aborted {
+        for (id, by) in &self.aborted {
             let job = ledger.jobs.get(id).filter(|j| !j.settled && j.end_stamp > 0);
-            let Some(spec) = job.and_then(|j| j.spec.as_ref()) else { continue };
-            let open = self.jobs.get(id).is_some_and(|r| !r.bound.is_empty())
-                || self
-                    .machines
-                    .values()
-                    .any(|m| m.unknown && spec.allows(&m.build, &m.zone, m.spot, &m.size));
-            if !open && now.since(*at) > Micros::secs(1) {
+            let known_for = (now + self.ctx.cancel).since(*by);
+            if known_for > Micros::secs(1) && job.is_some_and(|j| self.nowhere(*id, j)) {
                 v.push(LeaderWrite::Settle(*id));
             }
         }
--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -76,13 +76,6 @@
     }
 }
 
-impl Cancellations {
-    /// Cancellations of which something may be left, and since when they are known here.
-    pub fn unsettled(&self) -> BTreeMap<JobId, Micros> {
-        self.jobs.iter().map(|(job, k)| (*job, k.since)).collect()
-    }
-}
-
 /// The record of an end that a cancellation tells of.
 fn end_of(c: &Cancellation) -> serde_json::Value {
     let mut v = json!({"end": "aborted", "at": c.at_ms});
@@ -330,13 +323,27 @@
         self.spread_cancellations();
     }
 
-    /// Whether this process can know what was cancelled before it began: it has read
-    /// the state, or hears somebody who has and tells it.
-    pub(super) fn informed(&self) -> bool {
-        self.mirror.loaded
-            || self
-                .peers
-                .all()
-                .any(|n| n != self.nodes.me && self.hears(n, HEARD) && self.peers.states[n.0 as usize].loaded)
+    /// Notes that this process can know what was cancelled: it has read the state and
+    /// can ask for news, or hears somebody who has read it and tells what is confirmed.
+    pub(super) fn note_informed(&mut self) {
+        let told =
+            |n: NodeId| n != self.nodes.me && self.hears(n, HEARD) && self.peers.states[n.0 as usize].loaded;
+        if self.mirror.loaded && self.mirror.state_ok(self.now) || self.peers.all().any(told) {
+            self.informed = Some(self.now);
+        }
+    }
+
+    /// Whether workers may be kept alive by this process's word. Without news, it may
+    /// keep tasks alive that were cancelled since: a worker that nobody renews kills them
+    /// within its lease, and so within what is left of a cancellation. What was confirmed
+    /// before this process began may be any time ago; half is left for that.
+    pub(super) fn may_renew(&self) -> bool {
+        let spare = self.ctx.cancel - self.ctx.lease;
+        match self.informed {
+            // Nobody else can confirm anything.
+            _ if self.nodes.names.len() == 1 => true,
+            Some(t) => self.now.since(t) + Micros::secs(1) <= spare,
+            None => self.now.since(self.began) <= spare.scale(1, 2),
+        }
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -34,15 +34,15 @@
 use crate::peer::{Envelope, Message, Sighting};
 use crate::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
 use gorseshore_protocol::cloud::{Flavors, Hire, Hosts, Rentals};
-use gorseshore_protocol::ids::{JobId, MachineId, Micros, NodeId, OWN_IDS, Resources};
+use gorseshore_protocol::ids::{Attempt, JobId, MachineId, Micros, NodeId, OWN_IDS, Resources, TaskId};
 use gorseshore_protocol::job::JobSpec;
 use gorseshore_protocol::state::{Grant, Listing, Multi, MultiAnswer, News, When, Write};
 use gorseshore_protocol::users;
-use gorseshore_protocol::workers::{CheckinAnswer, Report, ReportNo};
+use gorseshore_protocol::workers::{CheckinAnswer, Order, Report, ReportNo};
 use gorseshore_settings::{Operator, Platform, Team};
 use log::{debug, error, info, warn};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Who is who.
 #[derive(Debug, Clone)]
@@ -116,8 +116,9 @@
     limits: (usize, f64, f64, f64),
     value_limit: usize,
     now: Micros,
-    /// When this process began.
+    /// When this process began, and when it could last know what was cancelled.
     began: Micros,
+    informed: Option<Micros>,
     wall_ms: u64,
     rng: fastrand::Rng,
     out: Outbox,
@@ -168,6 +169,7 @@
             value_limit: (d.state.value_kb * 1000.0) as usize,
             now,
             began: now,
+            informed: None,
             wall_ms: 0,
             rng: fastrand::Rng::with_seed(seed),
             out: Outbox::default(),
@@ -382,9 +384,12 @@
             }
             Purpose::Deputy => self.deputy_answered(&result),
             Purpose::DeputyDelete(ids) => {
-                if let CallResult::Answer { status: 200, .. } = result {
-                    self.deputy.deleted(&ids);
-                }
+                let done = match result {
+                    CallResult::Answer { status, .. } => Some(status == 200),
+                    CallResult::NotSent => Some(false),
+                    CallResult::Unknown => None,
+                };
+                self.deputy.deleted(&ids, done, self.now);
             }
             Purpose::Worker(m) => {
                 self.ctl.called(&m, id, &result, self.now);
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -19,10 +19,7 @@
             return self.send_elsewhere(id, None);
         }
         match self.ctl.checkin(&r, tasks, &self.mirror.ledger, self.now) {
-            CheckinReply::Orders(baton, orders) => {
-                let body = serde_json::to_vec(&CheckinAnswer { baton: baton.0, orders }).unwrap_or_default();
-                self.out.answer(id, 200, body);
-            }
+            CheckinReply::Orders(baton, orders) => self.renew(id, baton.0, orders),
             CheckinReply::Elsewhere(to) | CheckinReply::Lost(to)
                 if !self.held_check_ins.is_news(&machine, r.number()) =>
             {
@@ -80,18 +77,19 @@
     /// whose holder it does not know or the worker can't reach: with the token
     /// that the worker showed, so that nothing is started and a newer grant is
     /// not touched. Only what is over is stopped.
-    /// A process that can't know what was cancelled before it began does so for a
-    /// time only: a worker that nobody renews kills its tasks within its lease, and
-    /// so within what is left of a cancellation.
     fn keep_alive(&mut self, id: RequestId, r: &Report) {
-        let spare = (self.ctx.cancel - self.ctx.lease).scale(1, 2);
-        if !self.informed() && self.now.since(self.began) > spare {
-            return self.send_elsewhere(id, None);
-        }
         let tasks = read_tasks(r).unwrap_or_default();
         let orders = Controller::stops_for_stranger(&tasks, &self.mirror.ledger);
         self.held_check_ins.kept_alive(MachineId::from(&*r.host), r.baton);
-        let body = serde_json::to_vec(&CheckinAnswer { baton: r.baton, orders }).unwrap_or_default();
+        self.renew(id, r.baton, orders);
+    }
+
+    /// Answers a check-in, which renews its worker's lease, if this process may.
+    fn renew(&mut self, id: RequestId, baton: u64, orders: Vec<Order>) {
+        if !self.may_renew() {
+            return self.send_elsewhere(id, None);
+        }
+        let body = serde_json::to_vec(&CheckinAnswer { baton, orders }).unwrap_or_default();
         self.out.answer(id, 200, body);
     }
 
@@ -140,11 +138,7 @@
             let Some((id, r, _)) = self.held_check_ins.held.remove(&m) else { continue };
             let tasks = read_tasks(&r).unwrap_or_default();
             match self.ctl.checkin(&r, tasks, &self.mirror.ledger, self.now) {
-                CheckinReply::Orders(baton, orders) => {
-                    let body =
-                        serde_json::to_vec(&CheckinAnswer { baton: baton.0, orders }).unwrap_or_default();
-                    self.out.answer(id, 200, body);
-                }
+                CheckinReply::Orders(baton, orders) => self.renew(id, baton.0, orders),
                 CheckinReply::Elsewhere(to) | CheckinReply::Lost(to) => match self.holder_to_name(&m, to) {
                     Some(n) => self.send_elsewhere(id, Some(n)),
                     None => self.keep_alive(id, &r),
