Scenes of cancelled tasks, each process's own clock in the world; minorities stop renewing

Need: each suspicion a test. tests/world/scenes.rs has the acts and what must hold, with mute machines, commands held up, lost answers, late writes, frozen controllers, strings of leaders, cut zones; every process's steady clock begins with it, as the real one's does; no start may be ordered once any controller has answered for a cancellation (ordered_cancelled).

--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -324,11 +324,15 @@
     }
 
     /// Notes that this process can know what was cancelled: it has read the state and
-    /// can ask for news, or hears somebody who has read it and tells what is confirmed.
+    /// can ask for news; or, in an outage, it is in touch with most of the controllers, one
+    /// of whom has read it. Fewer may be what is cut off from a state service that goes on
+    /// serving the others, and nobody outside need be left to end what they keep alive.
     pub(super) fn note_informed(&mut self) {
-        let told =
-            |n: NodeId| n != self.nodes.me && self.hears(n, HEARD) && self.peers.states[n.0 as usize].loaded;
-        if self.mirror.loaded && self.mirror.state_ok(self.now) || self.peers.all().any(told) {
+        let heard = |n: &NodeId| *n != self.nodes.me && self.hears(*n, HEARD);
+        let heard: Vec<NodeId> = self.peers.all().filter(heard).collect();
+        let read = self.mirror.loaded || heard.iter().any(|n| self.peers.states[n.0 as usize].loaded);
+        let most = (heard.len() + 1) * 2 > self.nodes.names.len();
+        if self.mirror.loaded && self.mirror.state_ok(self.now) || read && most {
             self.informed = Some(self.now);
         }
     }
@@ -340,8 +344,6 @@
     pub(super) fn may_renew(&self) -> bool {
         let spare = self.ctx.cancel - self.ctx.lease;
         match self.informed {
-            // Nobody else can confirm anything.
-            _ if self.nodes.names.len() == 1 => true,
             Some(t) => self.now.since(t) + Micros::secs(1) <= spare,
             None => self.now.since(self.began) <= spare.scale(1, 2),
         }
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,11 +2,13 @@
 //! a network that loses, delays, repeats and holds back, and troubles. Every
 //! rule of the protocol is checked at each step.
 mod blink;
+mod cancelled;
 mod desk;
 mod fleet;
 mod meetings;
 mod nomad;
 mod oncall;
+mod scenes;
 
 use gorseshore_standins::cloud::flavor;
 use gorseshore_standins::{state, worker};
@@ -225,6 +227,11 @@
     Trouble,
     Crash(usize),
     Heal,
+    /// An input that came while its controller stood still.
+    Fed(usize, u64, Input),
+    EndLeader,
+    EndForGood(usize),
+    Outage,
     /// A copy of a request; nobody waits for its answer.
     Copy(usize, &'static str, String, Vec<u8>),
 }
@@ -256,6 +263,8 @@
     next: u64,
     nodes: Vec<Option<Node>>,
     incarnations: Vec<u64>,
+    /// When each process began: its steady clock counts from then.
+    began: Vec<u64>,
     state: State,
     refused_until: Vec<u64>,
     watches: Vec<Watch>,
@@ -287,6 +296,7 @@
     fleet: fleet::Seen,
     blink: blink::Seen,
     oncall: oncall::Seen,
+    faults: scenes::Faults,
 }
 
 impl World {
@@ -300,6 +310,7 @@
             next: 0,
             nodes: Vec::new(),
             incarnations: vec![0; size.nodes],
+            began: vec![0; size.nodes],
             state: State::limited(size.changes, size.changes_at_once, size.value_kb),
             refused_until: vec![0; size.nodes],
             watches: Vec::new(),
@@ -327,6 +338,7 @@
             fleet: fleet::Seen::default(),
             blink: blink::Seen::new(size.nodes),
             oncall: oncall::Seen::new(size.nodes),
+            faults: scenes::Faults::new(size.nodes),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -380,18 +392,30 @@
 
     // ---- nodes -----------------------------------------------------------
 
+    /// A process's steady clock, which begins at a second with it as the real one's does.
+    fn steady(&self, n: usize) -> Micros {
+        Micros(self.now - self.began[n] + S)
+    }
+
     fn feed(&mut self, n: usize, input: Input) {
         let now = self.now;
+        let me = self.incarnations[n];
+        let frozen = self.faults.frozen_until[n];
+        if frozen > now {
+            // The next tick finds what it missed.
+            return self.at(frozen - now, Event::Fed(n, me, input));
+        }
+        let steady = self.steady(n);
         let Some(node) = self.nodes[n].as_mut() else { return };
         let wall_ms = WALL_MS + now / 1000 + self.blink.ahead_ms[n];
-        let outputs = node.handle(Micros(now), wall_ms, input);
-        let me = self.incarnations[n];
+        let outputs = node.handle(steady, wall_ms, input);
         for o in outputs {
             match o {
                 Output::Answer { id, status, body, .. } => {
                     if self.oncall_swallows(n, id, status, &body) {
                         continue;
                     }
+                    self.answer_leaves(n, id, status, &body);
                     let d = self.delay();
                     self.at(d, Event::Answered(id, status, body));
                 }
@@ -406,6 +430,16 @@
                         }
                         continue;
                     }
+                    if let Ok(d) = serde_json::from_slice::<Direct>(&call.body) {
+                        self.check_orders(n, &d.orders);
+                    }
+                    let (late, answered) = self.held_up(n, &call);
+                    if late > 0 || !answered {
+                        // Nobody waits for it any more.
+                        let id = if answered { id } else { CallId(u64::MAX) };
+                        self.at(late + d, Event::Arrive(n, me, id, call));
+                        continue;
+                    }
                     if let Target::Worker(addr) = &call.target {
                         let Some(m) = self.machines.get(addr).filter(|m| m.up_at <= now) else {
                             self.at(d, Event::Called(n, me, id, CallResult::NotSent));
@@ -478,6 +512,7 @@
         let name = format!("host-{:06}", self.next_machine);
         self.next_machine += 1;
         let boot = match self.rng.u32(0..20) {
+            _ if self.faults.fast_boots => S,
             0 => S,
             1 if !self.quiet => 10_000 * S,
             _ if self.now < self.late_boots_until => self.rng.u64(20 * S..90 * S),
@@ -608,6 +643,11 @@
                 let key = self.next_request;
                 m.open = Some((key, now, m.shift));
                 self.oncall_reported(&name, &body);
+                self.keep_report(&body);
+                if self.is_mute(&name) {
+                    self.next_request += 1;
+                    continue;
+                }
                 let cut = {
                     let m = &self.machines[&name];
                     self.node_machine_cut(to, m)
@@ -721,6 +761,8 @@
                 faults.push(("wrong_place", format!("{here} tasks of job {j} in {}", m.zone)));
             }
         }
+        // Its order left before (`check_orders`).
+        self.faults.late_starts += job.aborted_at.is_some() as usize;
         if job.aborted_at.is_some_and(|t| self.now > t + self.size.cancel) {
             faults.push(("ran_cancelled", format!("{piece} starts on {at}")));
         }
@@ -1073,7 +1115,10 @@
         match e {
             Event::Tick(n, me) => {
                 if self.nodes[n].is_some() && self.incarnations[n] == me {
-                    self.feed(n, Input::Tick);
+                    if self.faults.frozen_until[n] <= now {
+                        self.feed(n, Input::Tick);
+                        self.new_leader(n);
+                    }
                     self.at(20 * MS, Event::Tick(n, me));
                     if self.size.blinks {
                         self.look_at(n);
@@ -1084,8 +1129,9 @@
             Event::Restart(n) => {
                 let seed = self.rng.u64(..) >> 1;
                 let number = if self.size.blinks { self.process_number(n, seed) } else { now };
-                let mut node =
-                    Node::new(&platform(n, &self.size), Operator::default(), seed, number, Micros(now));
+                self.began[n] = now;
+                let steady = self.steady(n);
+                let mut node = Node::new(&platform(n, &self.size), Operator::default(), seed, number, steady);
                 if self.size.planners {
                     node = nomad::guest(node, seed);
                 }
@@ -1139,6 +1185,17 @@
             Event::Crash(n) => self.crash(n),
             Event::Trouble => self.trouble(),
             Event::Heal => self.state.recover(now),
+            Event::EndLeader => self.end_leader(),
+            Event::EndForGood(n) => self.end_process(n, scenes::NEVER * S),
+            Event::Outage => {
+                self.state.down = true;
+                self.at(self.size.cancel, Event::Heal);
+            }
+            Event::Fed(n, me, input) => {
+                if self.incarnations[n] == me {
+                    self.feed(n, input);
+                }
+            }
             Event::Copy(n, method, path, body) => {
                 let id = RequestId(self.next_request);
                 self.next_request += 1;
