--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -5,6 +5,8 @@
 mod late;
 mod orders;
 mod placing;
+#[cfg(test)]
+mod stops;
 mod view;
 mod worker;
 
--- a/tests/world/looks.rs
+++ b/tests/world/looks.rs
@@ -35,6 +35,8 @@
     /// Answers to close looks, and those among them that say to come back.
     pub answers: usize,
     pub later: usize,
+    /// The answer to an odd request.
+    pub odd: Option<(u16, Vec<u8>)>,
 }
 
 /// Whether an answer to a request that began then is older than what was told before.
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -8,6 +8,7 @@
 mod looks;
 mod meetings;
 mod nomad;
+mod odd;
 mod oncall;
 mod scenes;
 
@@ -268,6 +269,8 @@
     Poll(usize),
     Abort(usize),
     Stranger,
+    /// Somebody who waits for just this answer.
+    Odd,
     Planner(nomad::Asked),
 }
 
@@ -803,7 +806,8 @@
             self.paid_us += (m.cpus * WORKERS_EVERY as f64) as u64;
             for t in m.tasks.iter().filter(|t| own(&t.name).is_none()) {
                 let (j, i) = Self::job_of(&t.name);
-                let job = &self.jobs[j];
+                // A job of `odd.rs`, which no worker was told of.
+                let Some(job) = self.jobs.get(j) else { continue };
                 if t.stage == Stage::Exited("done") {
                     done.push((j, i));
                 }
@@ -853,6 +857,7 @@
             // It went to another address.
             Asker::Planner(_) => {}
             Asker::Worker(name, key) => self.checkin_answered(&name, key, status, &body),
+            Asker::Odd => self.looks.odd = Some((status, body)),
             Asker::Stranger => {
                 if status == 200 {
                     self.break_rule("invented", "a job that nobody submitted".into());
--- /dev/null
+++ b/tests/world/odd.rs
@@ -0,0 +1,174 @@
+//! Odd requests, at every controller, with the state service there and away: jobs that lack a
+//! field, have one of another type or out of its range, or can never run; repeated
+//! submissions and cancellations of what is known, over or unknown.
+use super::*;
+
+fn good(j: u64) -> Value {
+    json!({"ref": format!("j-{j:06}"), "lot": "odd", "crew": "free", "manner": "array", "rank": "high",
+        "pieces": 2, "cpus": 0.5, "gpus": 0.0, "memory_gb": 0.5, "bundle": "i", "image_gb": 0.4,
+        "builds": ["big"], "yard": "east", "same_place": false, "apart": false, "loaners": false,
+        "guess_s": 3.0, "mark_s": 0.0, "stow_s": 0.0, "due_s": 900.0})
+}
+
+/// Asks a controller; the status, and the stage if the answer has one.
+fn ask(w: &mut World, n: usize, method: &'static str, path: &str, body: &str) -> (u16, Option<String>) {
+    w.looks.odd = None;
+    w.request(n, method, path.into(), body.as_bytes().to_vec(), Asker::Odd);
+    let until = w.now + 5 * S;
+    while w.looks.odd.is_none() && w.now < until {
+        w.run(w.now + 20 * MS);
+    }
+    let (status, body) = w.looks.odd.take().unwrap_or((0, Vec::new()));
+    let v: Value = serde_json::from_slice(&body).unwrap_or_default();
+    (status, v["stage"].as_str().map(str::to_owned))
+}
+
+/// A quiet world in which everything is known that has to be.
+fn quiet(nodes: usize) -> World {
+    logs();
+    let mut w = World::new(7, true, Size { nodes, jobs: 0, busy_until: 0, ends: 600 * S, ..SMALL });
+    w.run(20 * S);
+    w
+}
+
+/// What makes a good submission bad, with the answer; `None` removes the field.
+fn bad() -> Vec<(&'static str, Option<Value>, u16)> {
+    let mut all = Vec::new();
+    let text = ["ref", "lot", "crew", "manner", "rank", "bundle"];
+    let amounts = ["cpus", "gpus", "memory_gb", "image_gb", "guess_s", "mark_s", "stow_s"];
+    let flags = ["same_place", "apart", "loaners"];
+    for f in text.into_iter().chain(amounts).chain(flags).chain(["pieces"]) {
+        all.push((f, None, 400));
+        all.push((f, Some(Value::Null), 400));
+        all.push((f, Some(json!([1])), 400));
+        all.push((f, Some(json!({"a": 1})), 400));
+    }
+    for f in text {
+        all.push((f, Some(json!(7)), 400));
+        all.push((f, Some(json!("")), 400));
+    }
+    for f in amounts {
+        all.push((f, Some(json!("4")), 400));
+        all.push((f, Some(json!(-0.1)), 400));
+        all.push((f, Some(json!(1e300)), 400));
+    }
+    for f in flags {
+        all.push((f, Some(json!(1)), 400));
+        all.push((f, Some(json!("true")), 400));
+    }
+    all.extend([
+        ("ref", Some(json!("j-")), 400),
+        ("ref", Some(json!("k-000412")), 400),
+        ("ref", Some(json!("j-12345678901234567890")), 400),
+        ("manner", Some(json!("ensemble")), 400),
+        ("rank", Some(json!("urgent")), 400),
+        ("pieces", Some(json!(0)), 400),
+        ("pieces", Some(json!(-1)), 400),
+        ("pieces", Some(json!(1.5)), 400),
+        ("pieces", Some(json!(100_001)), 400),
+        ("pieces", Some(json!(1u64 << 40)), 400),
+        ("due_s", Some(json!(-1.0)), 400),
+        ("due_s", Some(json!("soon")), 400),
+        ("builds", Some(json!("big")), 400),
+        ("builds", Some(json!([3])), 400),
+        ("yard", Some(json!(3)), 400),
+        // Well formed, and can never run.
+        ("crew", Some(json!("nobody")), 422),
+        ("cpus", Some(json!(17.0)), 422),
+        ("gpus", Some(json!(1.0)), 422),
+        ("memory_gb", Some(json!(100_000.0)), 422),
+        ("builds", Some(json!(["huge"])), 422),
+        ("builds", Some(json!([])), 422),
+        ("yard", Some(json!("north")), 422),
+    ]);
+    all
+}
+
+#[test]
+fn odd_submissions_are_refused_everywhere_and_known_ones_never() {
+    for nodes in [3, 7] {
+        let mut w = quiet(nodes);
+        // Known before the odd ones, and over or not.
+        let known = [(900_001, "queued"), (900_002, "aborted"), (900_003, "done")];
+        for (j, _) in known {
+            assert_eq!(ask(&mut w, 0, "POST", "/submissions", &good(j).to_string()).0, 201);
+        }
+        let path = |j: u64, rest: &str| format!("/submissions/j-{j:06}{rest}");
+        assert_eq!(ask(&mut w, 1, "POST", &path(900_002, "/abort"), "").0, 200);
+        let end = json!({"end": "done", "at": 1});
+        let m = json!({"when": [], "writes": [{"put": "g/x/j-900003", "v": end}]}).to_string();
+        w.state.request("POST", "/multi", m.as_bytes(), w.now);
+        w.run(w.now + S);
+        let texts = ["", "[]", "{", "null", "{}", "7", "\"x\"", "{\"ref\":\"j-000777\",\"cpus\":NaN}"];
+        let mut failed = Vec::new();
+        for away in [false, true] {
+            w.state.down = away;
+            w.run(w.now + 3 * S);
+            for n in 0..nodes {
+                for (i, (field, value, want)) in bad().into_iter().enumerate() {
+                    // Each table once at each controller where the state is away: it takes time.
+                    if away && i % (4 * nodes) != n {
+                        continue;
+                    }
+                    let mut s = good(800_000 + (n * 1000 + i) as u64);
+                    match &value {
+                        Some(v) => s[field] = v.clone(),
+                        None => drop(s.as_object_mut().unwrap().remove(field)),
+                    }
+                    let (got, _) = ask(&mut w, n, "POST", "/submissions", &s.to_string());
+                    // It may be a job that is known: nobody can say while the state is away.
+                    if got != want && !(away && got == 503) {
+                        failed.push(format!("{field} {value:?} at {n}, away {away}: {got}, not {want}"));
+                    }
+                }
+                for text in texts {
+                    let (got, _) = ask(&mut w, n, "POST", "/submissions", text);
+                    if got != 400 && !(away && got == 503) {
+                        failed.push(format!("{text} at {n}, away {away}: {got}"));
+                    }
+                }
+                // Whatever comes under a known name is answered for as it stands.
+                for (j, stage) in known {
+                    for odd in [json!({"pieces": -1}), json!({"crew": "nobody"}), json!({"cpus": 1e9})] {
+                        let mut s = good(j);
+                        let o = odd.as_object().unwrap();
+                        o.iter().for_each(|(k, v)| s[k] = v.clone());
+                        let (got, told) = ask(&mut w, n, "POST", "/submissions", &s.to_string());
+                        let over = stage != "queued";
+                        let right = got == 200 && told.as_deref() == Some(stage);
+                        if !(right || got == 200 && !over || away && !over && got == 503) {
+                            failed.push(format!("{stage} {odd} at {n}, away {away}: {got} {told:?}"));
+                        }
+                    }
+                    // A cancellation of what is over answers how it ended.
+                    if stage != "queued" {
+                        let got = ask(&mut w, n, "POST", &path(j, "/abort"), "");
+                        if got != (200, Some(stage.into())) {
+                            failed.push(format!("cancelling what is {stage} at {n}, away {away}: {got:?}"));
+                        }
+                    }
+                }
+                for (rest, method) in [("", "GET"), ("/abort", "POST")] {
+                    let (got, _) = ask(&mut w, n, method, &path(700_000, rest), "");
+                    if got != if away { 503 } else { 404 } {
+                        failed.push(format!("{method} of an unknown job at {n}, away {away}: {got}"));
+                    }
+                }
+            }
+        }
+        w.state.recover(w.now);
+        w.run(w.now + 5 * S);
+        // Fields that may be null may be missing, and unknown ones are ignored.
+        for (i, n) in (0..nodes).enumerate() {
+            let mut s = good(600_000 + i as u64);
+            let o = s.as_object_mut().unwrap();
+            ["builds", "yard", "due_s"].iter().for_each(|f| drop(o.remove(*f)));
+            o.insert("later".into(), json!({"x": [1]}));
+            let (got, _) = ask(&mut w, n, "POST", "/submissions", &s.to_string());
+            if got != 201 {
+                failed.push(format!("without what may be null, at {n}: {got}"));
+            }
+        }
+        assert!(failed.is_empty(), "{nodes} controllers, {}:\n{}", failed.len(), failed.join("\n"));
+    }
+}
