--- a/crates/core/src/deputy.rs
+++ b/crates/core/src/deputy.rs
@@ -206,7 +206,7 @@
         let shown = r.pieces.iter().filter_map(|t| Some((TaskId::parse(&t.piece)?, Attempt(t.attempt))));
         p.shown.extend(shown);
         p.clean = unwanted.is_empty();
-        (!p.clean).then(|| Direct { baton: r.baton, shift: r.shift, orders: unwanted })
+        (!p.clean).then_some(Direct { baton: r.baton, shift: r.shift, orders: unwanted })
     }
 
     /// A deletion ended: it was carried out, or refused, or nobody knows.
--- a/tests/world/scenes.rs
+++ b/tests/world/scenes.rs
@@ -331,7 +331,7 @@
             CancelAndHang(w, l) => {
                 self.act(leader, Cancel(w));
                 let t = until(l);
-                let cancelled = |t: &worker::Task| t.on() && Self::job_of(&t.name).0 % 2 == 0;
+                let cancelled = |t: &worker::Task| t.on() && Self::job_of(&t.name).0.is_multiple_of(2);
                 let theirs = self.machines.values_mut().filter(|m| m.tasks.iter().any(cancelled));
                 theirs.take(8).for_each(|m| m.hung_until = t);
             }
@@ -368,7 +368,7 @@
     /// A job of two short tasks comes.
     pub fn short_job(&mut self) {
         let j = self.jobs.len();
-        let (zone, gang) = ((j % 3 == 0).then_some(ZONES[j % 2]), j % 3 == 1);
+        let (zone, gang) = (j.is_multiple_of(3).then_some(ZONES[j % 2]), j % 3 == 1);
         let body = json!({"ref": format!("j-{j:06}"), "lot": "short", "crew": "free", "manner": "array",
             "rank": "high", "pieces": 2, "cpus": 0.5, "gpus": 0.0, "memory_gb": 0.5, "bundle": "i",
             "image_gb": 0.4, "builds": null, "yard": zone, "same_place": gang, "apart": false,
