Status line every ten seconds; an answer that rests on no proof is noticed

Operators had no logs that tell why questions about jobs go unanswered. Each controller now writes a line of counters and gauges every ten seconds: polls answered, refused (by reason) and abandoned, the oldest open one, proofs by outcome and the slowest, lateness of ticks, revision and age of the replica, connections by class and what was refused for want of one, machines held, leader and term. Leaders, readings of the state and expired watches are logged as one event a line with key=value. Reasons for 503 are a type.

Run-time invariant: a question is answered only on proof that was asked for after it came.

--- a/crates/core/src/controller/block.rs
+++ b/crates/core/src/controller/block.rs
@@ -45,6 +45,11 @@
         added
     }
 
+    /// How many machines this controller holds.
+    pub fn machines_held(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Whether an update is news, and not one that was held up on the way, and
     /// the one that it builds on was taken.
     pub fn accept_update(&mut self, term: u64, seq: u64, base: u64) -> bool {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -340,7 +340,7 @@
                 _ => l.job_changed(*id, ledger, now),
             }
         }
-        info!("leading term {term}: {} machines, {} active jobs", l.machines.len(), l.jobs.len());
+        info!("elected term={term} machines={} active_jobs={}", l.machines.len(), l.jobs.len());
         l
     }
 
--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -136,7 +136,7 @@
 
     fn not_told(&mut self, asker: Asker) {
         match asker {
-            Asker::User(id) => self.out.later(id, "not every controller knows of the cancellation yet"),
+            Asker::User(id) => self.refuse(id, RefusalReason::CancellationUnconfirmed),
             Asker::Guest(t, _) => self.ask_guest(GuestInput::Called(t, CallResult::Unknown)),
         }
     }
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -8,6 +8,7 @@
 
 impl Node {
     pub(super) fn tick(&mut self) {
+        self.status.ticked(self.now);
         self.expire();
         self.note_informed();
         self.spread_cancellations();
@@ -51,7 +52,7 @@
 
     pub(super) fn expire(&mut self) {
         for w in self.users.expired(self.now) {
-            self.cant_ask(&w);
+            self.cant_ask(&w, RefusalReason::ProofFailed);
         }
     }
 
@@ -78,6 +79,9 @@
 
     pub(super) fn list(&mut self, from: Option<String>, first: Option<u64>, ledger: Box<Ledger>) {
         self.mirror.listing = true;
+        if from.is_none() {
+            self.mirror.reading = StateReading { began: self.now, ..StateReading::default() };
+        }
         let mut path = format!("/store?prefix={}&limit=1000", keys::ROOT);
         if let Some(f) = &from {
             path.push_str("&from=");
@@ -239,7 +243,7 @@
     pub(super) fn step_down(&mut self, why: &str) {
         if let Role::Leader { term, lease, .. } = self.leadership.election.role {
             self.leadership.ended_lease = Some(lease);
-            warn!("no longer leading term {term}: {why}");
+            warn!("stepped down term={term} reason=\"{why}\"");
         }
         let pause = Micros::millis(200 + self.rng.u64(0..400));
         self.leadership.election.lost(self.now, pause);
--- a/crates/core/src/node/host.rs
+++ b/crates/core/src/node/host.rs
@@ -85,10 +85,10 @@
         self.ask_guest(GuestInput::Called(t, CallResult::Answer { status: 200, body }));
     }
 
-    /// The state service can't prove that the mirror is up to date.
-    pub(super) fn cant_ask(&mut self, w: &Waiter) {
+    /// There is no proof that the mirror is up to date.
+    pub(super) fn cant_ask(&mut self, w: &Waiter, reason: RefusalReason) {
         match w.asker() {
-            Ok(id) => self.out.later(id, "the state service can't be asked"),
+            Ok(id) => self.refuse(id, reason),
             Err(t) => self.ask_guest(GuestInput::Proved(t, false)),
         }
     }
--- a/crates/core/src/node/mirror.rs
+++ b/crates/core/src/node/mirror.rs
@@ -2,6 +2,15 @@
 use crate::jobs::Ledger;
 use gorseshore_protocol::ids::Micros;
 
+/// A reading of all keys, page by page.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct StateReading {
+    pub began: Micros,
+    pub pages: u32,
+    pub bytes: usize,
+    pub interruptions: u32,
+}
+
 /// The mirror.
 #[derive(Debug, Default)]
 pub(super) struct Mirror {
@@ -12,6 +21,7 @@
     pub loaded: bool,
     /// A listing is open.
     pub listing: bool,
+    pub reading: StateReading,
     /// A watch is open.
     pub following: bool,
     /// The next watch is opened no earlier.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod requests;
 mod stand_in;
+mod status;
 mod waiting;
 mod workers;
 
@@ -21,8 +22,9 @@
 use held_check_ins::HeldCheckIns;
 use leadership::Leadership;
 use membership::{HEARD, Peers};
-use mirror::Mirror;
+use mirror::{Mirror, StateReading};
 use relay::Relay;
+use status::{Gauges, RefusalReason, ServiceStatus};
 use waiting::{MAX_WAITING, UserWrite, Users, Waiter};
 
 use crate::books::{Book, Kept};
@@ -129,6 +131,7 @@
     incarnation: u64,
     mirror: Mirror,
     users: Users,
+    status: ServiceStatus,
     cancellations: Cancellations,
     leadership: Leadership,
     peers: Peers,
@@ -180,6 +183,7 @@
             incarnation: incarnation.max(2),
             mirror: Mirror::default(),
             users: Users::new(limits.changes_per_s * 0.9 / n, limits.requests_per_s / n, now),
+            status: ServiceStatus::new(now),
             cancellations: Cancellations::default(),
             leadership: Leadership::new(&operator, limits.changes_per_s, now),
             peers: Peers::new(nodes.names.len()),
@@ -216,6 +220,7 @@
                 self.ask_guest(GuestInput::Request { id, method, path, token, body });
             }
             Input::Gone(id) => {
+                self.status.asker_gone(id);
                 self.held_check_ins.held.retain(|_, (r, ..)| *r != id);
                 self.ask_guest(GuestInput::Gone(id));
             }
@@ -233,9 +238,27 @@
                 self.peer(from, incarnation, message);
             }
         }
+        self.status.answers_leave(&self.out.items);
         std::mem::take(&mut self.out.items)
     }
 
+    /// The `status` line of a controller, if one is due.
+    pub fn status_line(&mut self) -> Option<String> {
+        let gauges = Gauges {
+            revision: self.mirror.ledger.applied,
+            ready: self.ready(),
+            machines_held: self.ctl.machines_held(),
+            leader: self.leader_node().map(|n| n.0),
+            term: self.leader_term(),
+        };
+        self.status.line(gauges, self.now)
+    }
+
+    /// How often an invariant that is checked at run time did not hold.
+    pub fn invariant_violations(&self) -> u64 {
+        self.status.violations()
+    }
+
     /// Whether this node leads, and may say so.
     pub fn leads(&self) -> bool {
         self.leadership.leader.is_some() && self.leadership.election.may_lead(self.now)
@@ -286,6 +309,7 @@
                     CallResult::Answer { status: 200, body } => match serde_json::from_slice::<News>(&body) {
                         Ok(n) => {
                             self.mirror.ok_at = Some(self.now);
+                            self.status.caught_up(self.now);
                             self.apply(n);
                         }
                         Err(e) => {
@@ -294,7 +318,10 @@
                         }
                     },
                     CallResult::Answer { status: 410, .. } => {
-                        info!("too far behind: reading the state anew");
+                        info!(
+                            "watch expired revision={}: reading the state anew",
+                            self.mirror.ledger.applied
+                        );
                         self.mirror.listed = false;
                     }
                     _ => self.mirror.follow_at = self.now + Micros::millis(150 + self.rng.u64(0..150)),
@@ -436,12 +463,17 @@
             // read is kept, and goes on after a pause.
             let pause = Micros::millis(150 + self.rng.u64(0..300));
             self.mirror.retry_list_at = self.now + pause;
+            self.mirror.reading.interruptions += 1;
             if from.is_some() {
                 debug!("reading the state was interrupted");
                 self.mirror.so_far = Some((from, first, ledger));
             }
             return;
         };
+        self.mirror.reading.pages += 1;
+        if let CallResult::Answer { body, .. } = &result {
+            self.mirror.reading.bytes += body.len();
+        }
         for p in &page.pairs {
             ledger.apply(&p.path, Some(&p.v), p.stamp);
         }
@@ -473,8 +505,12 @@
                 l.job_changed(*id, &self.mirror.ledger, self.now);
             }
         }
+        let StateReading { began, pages, bytes, interruptions } = self.mirror.reading;
         info!(
-            "state read: {} jobs, {} machines",
+            "state read revision={first} last_revision={} pages={pages} bytes={bytes} interruptions={interruptions} \
+             duration_ms={} jobs={} machines={}",
+            page.ledger,
+            self.now.since(began).0 / 1000,
             self.mirror.ledger.jobs.len(),
             self.mirror.ledger.machines.len()
         );
@@ -484,9 +520,11 @@
 
     fn barrier_done(&mut self, waiting: Vec<(Waiter, Micros)>, result: CallResult) {
         self.users.barrier_open = false;
+        self.status.proof_ended(&result, self.now);
         let news: Option<News> = match &result {
             CallResult::Answer { status: 200, body } => serde_json::from_slice(body).ok(),
             CallResult::Answer { status: 410, .. } => {
+                info!("proof expired revision={}: reading the state anew", self.mirror.ledger.applied);
                 self.mirror.listed = false;
                 None
             }
@@ -494,6 +532,7 @@
         };
         match news {
             Some(n) => {
+                self.status.caught_up(self.now);
                 self.apply(n);
                 if !self.mirror.loaded {
                     self.mirror.loaded = true;
@@ -509,7 +548,7 @@
                     if limited && self.now < until {
                         self.users.waiters.push((w, until));
                     } else {
-                        self.cant_ask(&w);
+                        self.cant_ask(&w, RefusalReason::ProofFailed);
                     }
                 }
             }
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -10,7 +10,7 @@
                 if self.ready() {
                     self.out.answer(id, 200, br#"{"ready":true}"#.to_vec());
                 } else {
-                    self.out.later(id, "not ready");
+                    self.refuse(id, RefusalReason::NotReady);
                 }
             }
             ("POST", "/checkin", _) => self.checkin(id, body),
@@ -31,7 +31,10 @@
                 match JobId::parse(job).filter(|j| !(abort && j.own())) {
                     None => self.out.answer(id, 404, users::error("no such job")),
                     Some(j) if abort => self.wait(Waiter::Abort(id, j), Micros::millis(3500)),
-                    Some(j) => self.wait(Waiter::Poll(id, j), Micros::millis(1500)),
+                    Some(j) => {
+                        self.status.poll_came(id, self.now);
+                        self.wait(Waiter::Poll(id, j), Micros::millis(1500));
+                    }
                 }
             }
             _ => self.out.answer(id, 404, users::error("no such path")),
@@ -95,17 +98,32 @@
         {
             return;
         }
-        if !self.mirror.loaded
-            || self.mirror.state_refuses(self.now)
-            || self.users.waiters.len() >= MAX_WAITING
-        {
-            return self.cant_ask(&w);
+        if let Some(reason) = self.refusal(self.users.waiters.len()) {
+            return self.cant_ask(&w, reason);
         }
         let until = self.now + limit;
         self.users.waiters.push((w, until));
         self.barrier();
     }
 
+    /// Why a user's request is refused at once, if it is; `waiting` are those of its
+    /// kind that wait already.
+    fn refusal(&self, waiting: usize) -> Option<RefusalReason> {
+        if !self.mirror.loaded {
+            return Some(RefusalReason::StateUnread);
+        }
+        if self.mirror.state_refuses(self.now) {
+            return Some(RefusalReason::StateRefused);
+        }
+        (waiting >= MAX_WAITING).then_some(RefusalReason::TooManyWaiting)
+    }
+
+    /// Tells a user to ask again, and counts why.
+    pub(super) fn refuse(&mut self, id: RequestId, reason: RefusalReason) {
+        self.status.refused(reason);
+        self.out.later(id, reason.sentence());
+    }
+
     pub(super) fn submit(&mut self, id: RequestId, body: &[u8]) {
         let parsed = users::parse_submission(body);
         let job = match &parsed {
@@ -120,11 +138,8 @@
         let known = self.mirror.ledger.jobs.contains_key(&job);
         match checked {
             Ok(spec) if !known && self.unknown_dependency(&spec).is_none() => {
-                if !self.mirror.loaded
-                    || self.mirror.state_refuses(self.now)
-                    || self.users.writes.len() >= MAX_WAITING
-                {
-                    return self.out.later(id, "the state service can't be asked");
+                if let Some(reason) = self.refusal(self.users.writes.len()) {
+                    return self.refuse(id, reason);
                 }
                 let until = self.now + Micros::millis(3500);
                 self.users.writes.push_back((UserWrite::Submit(id, Box::new(spec)), until));
@@ -143,7 +158,7 @@
             return Err((422, format!("more than the limit of team {}", s.team)));
         }
         if self.catalogue.flavors.is_empty() {
-            return Err((503, "the machine types are not known yet".into()));
+            return Err((503, RefusalReason::MachineTypesUnknown.sentence().into()));
         }
         let fits = self.catalogue.flavors.iter().any(|f| {
             let size = Resources::have(f.cpus, f.gpus, f.memory_gb);
@@ -184,6 +199,7 @@
         let id = self.state("GET", path, Vec::new(), Micros::millis(1200));
         self.calls.insert(id, Purpose::Barrier(waiting));
         self.users.barrier_open = true;
+        self.status.proof_asked(self.now);
     }
 
     pub(super) fn state(
@@ -204,7 +220,10 @@
     pub(super) fn resolve(&mut self, w: Waiter) {
         match w {
             Waiter::Guest(t) => self.ask_guest(GuestInput::Proved(t, true)),
-            Waiter::Poll(id, job) => self.current_answer(id, job),
+            Waiter::Poll(id, job) => {
+                self.status.answered_by_proof(id);
+                self.current_answer(id, job);
+            }
             Waiter::Submit(id, job, checked) => {
                 if self.mirror.ledger.jobs.contains_key(&job) {
                     return self.current_answer(id, job);
@@ -220,7 +239,7 @@
                         self.users.writes.push_back((UserWrite::Submit(id, Box::new(spec)), until));
                         self.write_users();
                     }
-                    Err((503, reason)) => self.out.later(id, &reason),
+                    Err((503, _)) => self.refuse(id, RefusalReason::MachineTypesUnknown),
                     Err((status, reason)) => self.out.answer(id, status, users::error(&reason)),
                 }
             }
@@ -250,7 +269,7 @@
             if self.now > until {
                 match w {
                     UserWrite::Submit(id, _) | UserWrite::Abort(id, ..) => {
-                        self.out.later(id, "the state service is slow");
+                        self.refuse(id, RefusalReason::WriteBudget);
                     }
                     UserWrite::Guest(t, ..) => self.ask_guest(GuestInput::Called(t, CallResult::NotSent)),
                 }
@@ -345,7 +364,7 @@
                 self.users.writes.push_back((w, self.now + Micros::millis(2000) - pause));
             }
             (UserWrite::Submit(id, _) | UserWrite::Abort(id, ..), _) => {
-                self.out.later(id, "the state service did not confirm it");
+                self.refuse(id, RefusalReason::WriteUnconfirmed);
             }
         }
     }
--- /dev/null
+++ b/crates/core/src/node/status/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+const GAUGES: Gauges = Gauges { revision: 7, ready: true, machines_held: 2, leader: Some(1), term: 4 };
+
+fn answer(id: u64, status: u16) -> Output {
+    Output::Answer { id: RequestId(id), status, body: Vec::new(), retry_after: None }
+}
+
+#[test]
+fn the_status_line_tells_answers_refusals_and_lateness_apart() {
+    let ms = Micros::millis;
+    let mut status = ServiceStatus::new(ms(1000));
+    for id in 1..=5 {
+        status.poll_came(RequestId(id), ms(2000));
+    }
+    status.refused(RefusalReason::ProofFailed);
+    status.answers_leave(&[answer(1, 200), answer(2, 503), answer(3, 404), answer(9, 200)]);
+    status.asker_gone(RequestId(4));
+    status.ticked(ms(1020));
+    status.ticked(ms(1340));
+    status.proof_asked(ms(2000));
+    status.proof_ended(&CallResult::Unknown, ms(3200));
+    status.proof_asked(ms(3300));
+    status.proof_ended(&CallResult::Answer { status: 200, body: Vec::new() }, ms(3310));
+    status.caught_up(ms(3310));
+    assert_eq!(status.line(GAUGES, ms(10_999)), None);
+    let line = status.line(GAUGES, ms(11_000)).unwrap();
+    let expected = [
+        "leader=1",
+        "term=4",
+        "machines=2",
+        "revision=7",
+        "replica_age_ms=7690",
+        "polls_answered=2",
+        "polls_refused=1",
+        "polls_abandoned=1",
+        "oldest_poll_ms=9000",
+        "refused=proof_failed:1",
+        "proofs=1",
+        "proofs_unanswered=1",
+        "proof_slowest_ms=1200",
+        "tick_late_ms=300",
+        "violations=0",
+    ];
+    for field in expected {
+        assert!(line.split(' ').any(|word| word == field), "{field} in {line}");
+    }
+    // Counters begin anew; what is still open stays.
+    let line = status.line(GAUGES, ms(21_000)).unwrap();
+    for field in ["polls_answered=0", "refused=none", "oldest_poll_ms=19000", "proofs=0"] {
+        assert!(line.split(' ').any(|word| word == field), "{field} in {line}");
+    }
+}
+
+#[test]
+fn an_answer_on_proof_that_is_older_than_its_question_is_noticed() {
+    // (question came, proof was asked for, violations), in milliseconds
+    for (came, sent, violations) in [(2000, 2000, 0), (2000, 2500, 0), (2500, 2000, 1)] {
+        let mut status = ServiceStatus::new(Micros::millis(1000));
+        status.poll_came(RequestId(1), Micros::millis(came));
+        status.proof_asked(Micros::millis(sent));
+        status.answered_by_proof(RequestId(1));
+        assert_eq!(status.violations(), violations, "{came} {sent}");
+    }
+}
--- a/crates/shell/src/admission.rs
+++ b/crates/shell/src/admission.rs
@@ -96,6 +96,46 @@
 /// A newcomer that says nothing for so long may be let go for another.
 const SAYS_NOTHING: Micros = Micros::secs(1);
 
+/// Connections by who is at the other end, and what became of those there was no
+/// room for since the counts were last taken.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// Workers.
+    pub workers: usize,
+    /// Users and the load balancer.
+    pub users: usize,
+    /// Those that have not asked for anything yet.
+    pub unidentified: usize,
+    /// Questions, submissions and cancellations refused for want of a connection.
+    pub requests_refused: u64,
+    /// Connections closed unasked.
+    pub closed_unasked: u64,
+    /// Idle connections closed for others: users' and workers'.
+    pub users_evicted: u64,
+    /// Idle workers' connections closed for others.
+    pub workers_evicted: u64,
+    /// Workers' reports that were answered on a connection that could not stay.
+    pub workers_not_kept: u64,
+}
+
+impl std::fmt::Display for ConnectionCounts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "connections_workers={} connections_users={} connections_unidentified={} refused_no_connection={} \
+             closed_unasked={} evicted_users={} evicted_workers={} workers_not_kept={}",
+            self.workers,
+            self.users,
+            self.unidentified,
+            self.requests_refused,
+            self.closed_unasked,
+            self.users_evicted,
+            self.workers_evicted,
+            self.workers_not_kept
+        )
+    }
+}
+
 #[derive(Debug)]
 struct Conn {
     who: Who,
@@ -116,6 +156,7 @@
     /// Let go, and not closed yet.
     leaving: BTreeSet<ConnId>,
     turned_away: u64,
+    counts: ConnectionCounts,
 }
 
 impl Admission {
@@ -129,6 +170,7 @@
             workers: BTreeSet::new(),
             leaving: BTreeSet::new(),
             turned_away: 0,
+            counts: ConnectionCounts::default(),
         }
     }
 
@@ -142,6 +184,19 @@
         self.turned_away
     }
 
+    /// Connections by class, and what became of others since this was last asked.
+    pub fn take_counts(&mut self) -> ConnectionCounts {
+        let mut counts = std::mem::take(&mut self.counts);
+        for connection in self.open.values() {
+            match connection.who {
+                Who::Worker => counts.workers += 1,
+                Who::Unknown => counts.unidentified += 1,
+                Who::Poll | Who::Change | Who::Probe => counts.users += 1,
+            }
+        }
+        counts
+    }
+
     /// How many are open beyond those that may stay, without those on their
     /// way out.
     fn over(&self) -> usize {
@@ -164,6 +219,7 @@
 
     /// Nobody made room for a newcomer in time: it is closed unasked.
     pub fn turn_away(&mut self) {
+        self.counts.closed_unasked += 1;
         self.turned_away += 1;
     }
 
@@ -184,7 +240,10 @@
         match who {
             Who::Worker => match self.let_go(0, who, now) {
                 Some(gone) => (Manner::Keep, Some(gone)),
-                None => (Manner::Close, None),
+                None => {
+                    self.counts.workers_not_kept += 1;
+                    (Manner::Close, None)
+                }
             },
             Who::Poll | Who::Unknown if over * 2 > lobby => self.refuse(),
             Who::Change if over * 4 > lobby * 3 => self.refuse(),
@@ -193,6 +252,7 @@
     }
 
     fn refuse(&mut self) -> (Manner, Option<ConnId>) {
+        self.counts.requests_refused += 1;
         self.turned_away += 1;
         (Manner::Refuse, None)
     }
@@ -235,6 +295,11 @@
         let any = user.or_else(|| self.workers.first().copied().filter(|_| who == Who::Worker));
         let (_, id) = any?;
         self.busy(id);
+        match self.open[&id].who {
+            Who::Worker => self.counts.workers_evicted += 1,
+            Who::Unknown => self.counts.closed_unasked += 1,
+            Who::Poll | Who::Change | Who::Probe => self.counts.users_evicted += 1,
+        }
         self.leaving.insert(id);
         self.turned_away += 1;
         Some(id)
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Writes the `status` line when it is due.
+    fn log_status(&self, entry: &RefCell<server::Entry>) {
+        if let Some(line) = self.node.borrow_mut().status_line() {
+            info!("{line} {}", entry.borrow_mut().take_counts());
+        }
+    }
+
     /// Whether users are served here, or better by others.
     fn serves_users(&self) -> bool {
         self.node.borrow().serves_users()
@@ -255,19 +262,27 @@
         let (cluster, public) = (door(bound.cluster)?, door(bound.public)?);
         info!("{} listens on {} and {}", platform.host_name, platform.public_addr, platform.cluster_listen);
         executor.spawn(peers::listen(shell.clone(), cluster, executor.clone(), nodes.names.len())).detach();
+        let entry = Rc::new(RefCell::new(server::Entry::new(bounds)));
         executor
-            .spawn(server::listen(shell.clone(), public, executor.clone(), server::Door::Users, bounds))
+            .spawn(server::listen(
+                shell.clone(),
+                public,
+                executor.clone(),
+                server::Door::Users,
+                entry.clone(),
+            ))
             .detach();
         if let Some(listener) = bound.guest {
             info!("the guest's interface listens on {}", listener.local_addr()?);
             let door = door(listener)?;
-            let bounds = bounds.of_guest();
+            let guests = Rc::new(RefCell::new(server::Entry::new(bounds.of_guest())));
             executor
-                .spawn(server::listen(shell.clone(), door, executor.clone(), server::Door::Guest, bounds))
+                .spawn(server::listen(shell.clone(), door, executor.clone(), server::Door::Guest, guests))
                 .detach();
         }
         loop {
             shell.input(Input::Tick);
+            shell.log_status(&entry);
             Timer::after(Duration::from_millis(20)).await;
         }
     }))
--- a/crates/shell/src/server.rs
+++ b/crates/shell/src/server.rs
@@ -1,6 +1,6 @@
 //! Connections of users and workers; who may keep one is decided in
 //! [`super::admission`].
-use super::admission::{Admission, Bounds, ConnId, Manner, Who};
+use super::admission::{Admission, Bounds, ConnId, ConnectionCounts, Manner, Who};
 use super::http;
 use super::{Reply, Shell};
 use gorseshore_protocol::users;
@@ -56,7 +56,7 @@
 }
 
 /// The connections of one address.
-struct Entry {
+pub struct Entry {
     admission: Admission,
     /// Tells a connection that it is let go.
     let_go: HashMap<ConnId, Sender<()>>,
@@ -64,6 +64,16 @@
 }
 
 impl Entry {
+    /// Nobody is connected yet.
+    pub fn new(bounds: Bounds) -> Self {
+        Entry { admission: Admission::new(bounds), let_go: HashMap::new(), told: None }
+    }
+
+    /// Connections by class, and what became of others since this was last asked.
+    pub fn take_counts(&mut self) -> ConnectionCounts {
+        self.admission.take_counts()
+    }
+
     /// Users' and workers' connections take the room of those kept with workers.
     fn leave_room(&self, shell: &Shell, door: Door) {
         if door == Door::Users {
@@ -89,19 +99,14 @@
     }
 }
 
-/// Takes connections, as many as `bounds` say.
+/// Takes connections, as many as the bounds of `entry` say.
 pub async fn listen(
     shell: Rc<Shell>,
     listener: TcpListener,
     ex: Rc<LocalExecutor<'static>>,
     door: Door,
-    bounds: Bounds,
+    entry: Rc<RefCell<Entry>>,
 ) {
-    let entry = Rc::new(RefCell::new(Entry {
-        admission: Admission::new(bounds),
-        let_go: HashMap::new(),
-        told: None,
-    }));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -479,6 +479,10 @@
         let Some(node) = self.nodes[n].as_mut() else { return };
         let wall_ms = WALL_MS + now / 1000 + self.blink.ahead_ms[n];
         let outputs = node.handle(steady, wall_ms, input);
+        let violations = node.invariant_violations();
+        if violations > 0 {
+            self.broken.push(format!("invariant at {:.3}: {violations} at controller {n}", now as f64 / 1e6));
+        }
         for o in outputs {
             match o {
                 Output::Answer { id, status, body, .. } => {
