Hand-outs share their block: machines are ruled out by their token

Cause: a task that is assigned and whose place is not known was bound to a set of machine names, shared until a machine confirmed a new grant; then each of up to 2,500 such tasks took a copy of its own (1,300 names) to leave that machine out. Every confirmation cost tens of milliseconds, the leader fell behind, its acknowledgements came late, machines were moved and confirmed again: a loop that keeps itself going.

Fix: whether a machine may hold an assigned task is decided in one place (leader/assignments.rs) from the machine: it is gone, or its task list was seen whole under a token drawn after the assignment. The sets stay shared and unchanged. A task is watched at one machine that may hold it, so that a confirmation looks only at the tasks that are watched there; it is set free only after a look at its whole block, by the same condition as before. Books taken over share one block a zone, too.

Run-time invariant, also in release builds: a task is assigned only while it is bound nowhere.

--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -1,4 +1,5 @@
 //! What controllers say, and where that binds tasks.
+use super::assignments::{may_hold, next_open};
 use super::*;
 
 impl Leader {
@@ -74,11 +75,11 @@
         if b.attempt != o.attempt || b.handed.as_ref().is_none_or(|x| x.incarnation != incarnation) {
             return;
         }
-        let may_be = b.handed.take().map(|x| x.machines).unwrap_or_default();
-        self.handed.remove(&h.task);
+        let Some(handed) = b.handed.take() else { return };
+        self.handed.remove(h.task, &handed);
         if let Some(id) = &o.machine
-            && may_be.contains(id)
-            && let Some(m) = self.machines.get_mut(id)
+            && handed.machines.contains(id)
+            && let Some(m) = self.machines.get_mut(id).filter(|m| may_hold(m, o.attempt))
         {
             b.on.insert(id.clone());
             m.bound.insert(h.task);
@@ -315,27 +316,28 @@
     /// The machine's task list is known under `token` (or it is gone): no
     /// hand-out from before can be started on it any more.
     pub(super) fn clear_handed(&mut self, id: &MachineId, token: Option<Baton>) {
+        if let (Some(token), Some(m)) = (token, self.machines.get_mut(id)) {
+            m.task_list_token = m.task_list_token.max(token);
+        }
         let mut free = Vec::new();
-        for task in &self.handed {
+        for task in self.handed.take_watched(id) {
             let Some(run) = self.jobs.get_mut(&task.job) else { continue };
             let Some(b) = run.bound.get_mut(&task.index) else { continue };
-            let Some(h) = b.handed.as_mut().filter(|h| h.machines.contains(id)) else { continue };
-            if token.is_some_and(|t| b.attempt.0 >= t.0) {
-                continue;
+            let Some(h) = b.handed.as_mut() else { continue };
+            if token.is_none_or(|t| b.attempt.0 < t.0) {
+                let next = |after| next_open(&h.machines, after, &run.spec, b.attempt, &self.machines);
+                // Free only if none of them may hold it: what a job allows may have changed.
+                h.watched = next(Some(id)).or_else(|| next(None));
             }
-            Rc::make_mut(&mut h.machines).remove(id);
-            // Of the others, those that the job may not run on don't matter.
-            let (machines, spec) = (&self.machines, &run.spec);
-            let open = |m: &MachineId| machines.get(m).is_some_and(|m| m.suits(spec));
-            if !h.machines.iter().any(open) {
-                let hint = h.hint.clone();
-                b.handed = None;
-                self.books.note(*task);
-                free.push((*task, b.attempt, hint));
+            if h.watched.is_some() {
+                self.handed.watch(task, h.watched.as_ref());
+            } else if let Some(handed) = b.handed.take() {
+                self.handed.remove(task, &handed);
+                self.books.note(task);
+                free.push((task, b.attempt, handed.hint));
             }
         }
         for (task, attempt, hint) in free {
-            self.handed.remove(&task);
             self.handouts.remove(&attempt);
             if let Some(m) = self.machines.get_mut(&hint) {
                 m.reserved.remove(&attempt);
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -1,4 +1,5 @@
 //! Blocks: who holds which machine, and machines that fall silent.
+use super::assignments::may_hold;
 use super::*;
 
 /// How often the fleet is gone through for machines to move or to watch.
@@ -337,12 +338,14 @@
                 let bound = || run.iter().flat_map(|r| r.bound.values());
                 doomed.extend(bound().flat_map(|b| b.on.iter()).map(|id| (id.clone(), *job)));
                 // A hand-out went to a machine that its job may use.
-                let may_hold = |id: &MachineId| {
+                let holds = |id: &MachineId, attempt: Attempt| {
                     let (Some(r), Some(m)) = (run, self.machines.get(id)) else { return false };
-                    m.suits(&r.spec)
+                    m.suits(&r.spec) && may_hold(m, attempt)
                 };
-                let handed = bound().filter_map(|b| b.handed.as_ref()).flat_map(|h| h.machines.iter());
-                doomed.extend(handed.filter(|id| may_hold(id)).map(|id| (id.clone(), *job)));
+                for (b, h) in bound().filter_map(|b| Some((b, b.handed.as_ref()?))) {
+                    let machines = h.machines.iter().filter(|id| holds(id, b.attempt));
+                    doomed.extend(machines.map(|id| (id.clone(), *job)));
+                }
             }
             // Machines that nobody heard in this term may hold its tasks.
             if now >= self.deletion_due(*by, 90, Micros::millis(2500))
--- a/crates/core/src/leader/books.rs
+++ b/crates/core/src/leader/books.rs
@@ -1,5 +1,6 @@
 //! The leader's books: kept at its witnesses, and taken over from the leader
 //! before (see `crate::books` for the invariants).
+use super::assignments::{Handed, first_watched};
 use super::*;
 use crate::books::{Book, Entry, Page, Witnesses};
 
@@ -106,6 +107,8 @@
             m.unknown = book.unknown.contains(id);
         }
         let mut taken = 0;
+        // One block for all that may be anywhere in a zone, or anywhere.
+        let mut blocks: BTreeMap<&Option<String>, Rc<BTreeSet<MachineId>>> = BTreeMap::new();
         for (task, e) in &book.tasks {
             let job = ledger.jobs.get(&task.job);
             let Some((job, spec)) = job.and_then(|j| Some((j, j.spec.clone()?))) else { continue };
@@ -122,15 +125,19 @@
             let on: BTreeSet<MachineId> =
                 e.on.iter().filter(|id| self.machines.contains_key(*id)).cloned().collect();
             let handed = e.handed.as_ref().map(|(hint, zone)| {
-                let in_zone = |m: &Machine| zone.as_ref().is_none_or(|z| *z == m.zone);
-                let all = self.machines.iter().filter(|(_, m)| in_zone(m));
+                let block = blocks.entry(zone).or_insert_with(|| {
+                    let in_zone = |m: &Machine| zone.as_ref().is_none_or(|z| *z == m.zone);
+                    let all = self.machines.iter().filter(|(_, m)| in_zone(m));
+                    Rc::new(all.map(|(id, _)| id.clone()).collect())
+                });
                 let at_hint = self.machines.get(hint).map(|m| m.zone.clone());
                 Handed {
                     // Nobody's: no outcome is told to this term.
                     incarnation: 0,
-                    machines: Rc::new(all.map(|(id, _)| id.clone()).collect()),
+                    machines: block.clone(),
                     hint: hint.clone(),
                     zone: zone.clone().or(at_hint).unwrap_or_default(),
+                    watched: first_watched(block, &spec, e.attempt, &self.machines),
                 }
             });
             if on.is_empty() && handed.is_none() {
@@ -146,8 +153,8 @@
                     m.stale = true;
                 }
             }
-            if handed.is_some() {
-                self.handed.insert(*task);
+            if let Some(handed) = &handed {
+                self.handed.watch(*task, handed.watched.as_ref());
             }
             self.sums.bound(&run.spec);
             run.bound.insert(task.index, Binding { attempt: e.attempt, handed, on });
--- a/crates/core/src/leader/machine.rs
+++ b/crates/core/src/leader/machine.rs
@@ -35,6 +35,8 @@
     pub(super) holder: Option<NodeId>,
     pub(super) last_holder: Option<NodeId>,
     pub(super) baton: Baton,
+    /// The last token under which its task list was seen whole.
+    pub(super) task_list_token: Baton,
     /// The holder has seen a report under `baton`: its task list is whole.
     pub(super) confirmed: bool,
     pub(super) tasks: BTreeMap<TaskId, (Attempt, TaskState)>,
@@ -95,6 +97,7 @@
             holder: None,
             last_holder: None,
             baton: Baton(0),
+            task_list_token: Baton(0),
             confirmed: false,
             tasks: BTreeMap::new(),
             started: BTreeMap::new(),
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader: which machines there are, which controller holds them, where
 //! each task is bound, and what goes next.
+mod assignments;
 mod bindings;
 mod blocks;
 mod books;
@@ -23,8 +24,9 @@
 pub mod ways;
 mod wishes;
 
+use assignments::{AssignedTasks, Handed, may_hold};
 pub use machine::{Machine, Stage};
-use run::{Binding, Handed, MISTAKEN, Run};
+use run::{Binding, MISTAKEN, Run};
 use wishes::HireStage;
 pub use wishes::{CloudWish, HireRequest, LeaderWrite};
 
@@ -47,7 +49,7 @@
 use gorseshore_protocol::job::{JobSpec, Kind, RANKS, Rank};
 use gorseshore_protocol::workers::ReportNo;
 use gorseshore_settings::{Objective, Operator, Team};
-use log::{debug, info, warn};
+use log::{debug, error, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -200,7 +202,9 @@
     /// Jobs that were cancelled with one that they depend on and have no record of it.
     unrecorded_cancellations: BTreeSet<JobId>,
     /// Tasks that are handed out and whose place is not known.
-    handed: BTreeSet<TaskId>,
+    handed: AssignedTasks,
+    /// How often an invariant that is checked at run time did not hold.
+    violations: u64,
     /// The blocks as sets, made when they are needed.
     blocks: BTreeMap<NodeId, Rc<BTreeSet<MachineId>>>,
     /// Bound tasks: what teams use of CPUs and GPUs, and how many are of arrays.
@@ -285,7 +289,8 @@
             held: BTreeSet::new(),
             dependency_done: true,
             unrecorded_cancellations: BTreeSet::new(),
-            handed: BTreeSet::new(),
+            handed: AssignedTasks::default(),
+            violations: 0,
             blocks: BTreeMap::new(),
             sums: Sums::default(),
             stops: BTreeMap::new(),
@@ -347,14 +352,15 @@
     /// Compares what is kept as things change with a fresh count: for tests.
     pub fn check_sums(&self) -> Result<(), String> {
         let mut sums = Sums::default();
-        let mut handed = BTreeSet::new();
+        let mut handed = AssignedTasks::default();
         let mut on: BTreeMap<&MachineId, BTreeSet<TaskId>> = BTreeMap::new();
         for (job, r) in &self.jobs {
             for (index, b) in &r.bound {
                 let task = TaskId { job: *job, index: *index };
                 sums.bound(&r.spec);
-                if b.handed.is_some() {
-                    handed.insert(task);
+                if let Some(h) = &b.handed {
+                    handed.watch(task, h.watched.as_ref());
+                    self.check_watched(task, b.attempt, h)?;
                 }
                 for id in &b.on {
                     on.entry(id).or_default().insert(task);
@@ -383,6 +389,21 @@
         Ok(())
     }
 
+    /// Whether a task is watched at a machine whose word is still to come.
+    fn check_watched(&self, task: TaskId, attempt: Attempt, handed: &Handed) -> Result<(), String> {
+        let there = |id: &MachineId| self.machines.get(id).is_some_and(|m| may_hold(m, attempt));
+        let watched = handed.watched.as_ref().filter(|id| handed.machines.contains(*id) && there(id));
+        if watched.is_none() && handed.machines.iter().any(there) {
+            return Err(format!("{task}: watched at {:?}, which can't hold it", handed.watched));
+        }
+        Ok(())
+    }
+
+    /// How often an invariant that is checked at run time did not hold.
+    pub fn violations(&self) -> u64 {
+        self.violations
+    }
+
     /// A number never used before in this deployment.
     fn draw(&mut self) -> u64 {
         self.epoch += 1;
--- a/crates/core/src/leader/run.rs
+++ b/crates/core/src/leader/run.rs
@@ -2,17 +2,6 @@
 //! bound anywhere, or done, is not the next one (`Run::peek`).
 use super::*;
 
-/// A task that a controller was given and has not told about.
-#[derive(Debug, Clone)]
-pub(super) struct Handed {
-    pub(super) incarnation: u64,
-    /// Machines on which it may have been started: the block as it was, shared
-    /// by the hand-outs of that time.
-    pub(super) machines: Rc<BTreeSet<MachineId>>,
-    pub(super) hint: MachineId,
-    pub(super) zone: String,
-}
-
 /// Where a task may be. It is free only when all of it is gone.
 #[derive(Debug, Clone)]
 pub(super) struct Binding {
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -1,4 +1,5 @@
 //! What goes next, and where: SFQ, limits, placement, preemption.
+use super::assignments::{Handed, first_watched};
 use super::*;
 
 /// What the tasks of a machine take. A task whose job is forgotten takes all.
@@ -357,15 +358,15 @@
         let need = run.spec.need;
         run.again.remove(&task.index);
         self.sums.bound(&run.spec);
-        self.handed.insert(task);
-        run.bound.insert(
-            task.index,
-            Binding {
-                attempt,
-                handed: Some(Handed { incarnation, machines, hint: hint.clone(), zone }),
-                on: BTreeSet::new(),
-            },
-        );
+        let watched = first_watched(&machines, &run.spec, attempt, &self.machines);
+        self.handed.watch(task, watched.as_ref());
+        let handed = Handed { incarnation, machines, hint: hint.clone(), zone, watched };
+        let binding = Binding { attempt, handed: Some(handed), on: BTreeSet::new() };
+        let bound_before = run.bound.insert(task.index, binding);
+        if bound_before.is_some() {
+            self.violations += 1;
+            error!("invariant violated name=assigned_while_bound task={task} attempt={}", attempt.0);
+        }
         if let Some(m) = self.machines.get_mut(&hint) {
             m.reserved.insert(attempt, need);
             m.images.insert(run.spec.image.clone());
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -256,7 +256,7 @@
 
     /// How often an invariant that is checked at run time did not hold.
     pub fn invariant_violations(&self) -> u64 {
-        self.status.violations()
+        self.status.violations() + self.leadership.leader.as_ref().map_or(0, Leader::violations)
     }
 
     /// Whether this node leads, and may say so.
