Test, failing: a leader that is behind deletes live machines

The leader's test bench passes time in steps of 200 ms now, as for a leader that is on time; no expectation was changed.

--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -1,5 +1,6 @@
 //! Bindings: what frees a task, and what doesn't.
 mod hand_outs;
+mod lateness;
 mod limits;
 
 use super::*;
@@ -10,6 +11,8 @@
 mod pipelines;
 
 const TERM: u64 = 3;
+/// A leader that comes to its work this often is on time.
+const ON_TIME_MS: u64 = 200;
 const A: NodeId = NodeId(0);
 const B: NodeId = NodeId(1);
 
@@ -132,7 +135,18 @@
         self.tick(30);
     }
 
+    /// Time passes for a leader that is on time.
     fn tick(&mut self, ms: u64) {
+        let mut left = ms;
+        while left > ON_TIME_MS {
+            self.late_tick(ON_TIME_MS);
+            left -= ON_TIME_MS;
+        }
+        self.late_tick(left);
+    }
+
+    /// Time passes, and the leader comes to its work only then.
+    fn late_tick(&mut self, ms: u64) {
         self.now = self.now + Micros::millis(ms);
         self.leader.dirty = true;
         self.leader.tick(&self.ledger, self.now);
