A leader that is behind takes nobody for silent

Cause: reports that wait for a late leader count as not sent. It handles what waits one message at a time; the first one proves that the way to its zone is open, and whoever's word still waits is taken for dead.

Fix: silence counts from when a machine was heard or, for a minute at most, from when the leader last came to its work more than 250 ms late; that is decided in leader/lateness.rs, for deletions and for moves. A dead machine is found out so much later; in doubt the leader waits.

--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -83,6 +83,7 @@
     /// Grants, moves, watches and decides. Called about every 20 ms while
     /// this node may lead.
     pub fn tick(&mut self, ledger: &Ledger, now: Micros) {
+        self.lateness.works(now);
         if !self.granted {
             let all = self.contacts(now).into_iter().all(|c| c);
             let waited = now.since(self.began);
@@ -137,7 +138,8 @@
             match m.holder {
                 None => unheld.push((id.clone(), m.zone.clone())),
                 Some(h) => {
-                    let silent = m.heard.is_none_or(|t| now.since(t) > Micros::millis(3500))
+                    let silent_from = m.heard.map(|t| self.lateness.silent_from(t));
+                    let silent = silent_from.is_none_or(|t| now.since(t) > Micros::millis(3500))
                         && now.since(m.granted_at) > Micros::millis(1500);
                     if let Some(s) = seen
                         && s != h
@@ -236,7 +238,7 @@
             let way = |by| self.ways.open_since(by, &m.zone);
             let opened = m.holder.map_or(Micros(0), |h| way(Some(h))).max(way(None));
             let last = m.heard.unwrap_or(m.since);
-            let base = last.max(self.began).max(spoke).max(m.moved_at).max(opened);
+            let base = self.lateness.silent_from(last).max(self.began).max(spoke).max(m.moved_at).max(opened);
             let silent = now.since(base);
             let seen = self.last_seen.get(id).is_some_and(|(_, t)| now.since(*t) < Micros::secs(5));
             let lost =
--- /dev/null
+++ b/crates/core/src/leader/lateness.rs
@@ -0,0 +1,59 @@
+//! Whether this leader itself is late. What has not been handled yet says nothing of others:
+//! a leader that is behind must not take its own lateness for the silence of machines.
+use gorseshore_protocol::ids::Micros;
+
+/// The leader's work is due every 20 ms; one that comes to it later than this is behind.
+const BEHIND_AFTER: Micros = Micros::millis(250);
+
+/// A machine that was heard this long ago is silent, however late the leader is.
+const SILENT_FOR_CERTAIN: Micros = Micros::secs(60);
+
+/// When this leader last came to its work, and when it was last behind.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lateness {
+    worked_at: Micros,
+    behind_until: Micros,
+}
+
+impl Lateness {
+    pub(super) fn new(now: Micros) -> Self {
+        Lateness { worked_at: now, behind_until: now }
+    }
+
+    /// The leader comes to its work.
+    pub(super) fn works(&mut self, now: Micros) {
+        if now.since(self.worked_at) > BEHIND_AFTER {
+            self.behind_until = now;
+        }
+        self.worked_at = now;
+    }
+
+    /// From when the silence of a machine counts that was heard at `last`: from then, or from
+    /// when the leader was last behind.
+    pub(super) fn silent_from(&self, last: Micros) -> Micros {
+        last.max(self.behind_until.min(last + SILENT_FOR_CERTAIN))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn silence_counts_from_when_the_leader_was_last_behind() {
+        let ms = Micros::millis;
+        // (when the leader works, when a machine was heard, from when its silence counts)
+        let cases: [(&[u64], u64, u64); 5] = [
+            (&[1_000, 1_250, 1_500], 900, 1_000),
+            (&[1_000, 1_250, 1_501], 900, 1_501),
+            (&[1_000, 3_000, 3_200, 3_400], 2_500, 3_000),
+            (&[1_000, 3_000, 3_200, 3_400], 3_100, 3_100),
+            (&[1_000, 100_000], 10_000, 70_000),
+        ];
+        for (works, heard, want) in cases {
+            let mut lateness = Lateness::new(ms(1_000));
+            works.iter().for_each(|at| lateness.works(ms(*at)));
+            assert_eq!(lateness.silent_from(ms(heard)), ms(want), "{works:?} {heard}");
+        }
+    }
+}
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod dependents;
 pub mod growth;
 pub mod health;
+mod lateness;
 mod machine;
 mod machines;
 mod messages;
@@ -25,6 +26,7 @@
 mod wishes;
 
 use assignments::{AssignedTasks, Handed, may_hold};
+use lateness::Lateness;
 pub use machine::{Machine, Stage};
 use run::{Binding, MISTAKEN, Run};
 use wishes::HireStage;
@@ -176,6 +178,7 @@
     /// Revision of the leader's key: jobs recorded later were never handed
     /// out by an earlier leader.
     began_stamp: u64,
+    lateness: Lateness,
     granted: bool,
     queues: BTreeMap<Rank, FairQueue>,
     nodes: Vec<Node>,
@@ -274,6 +277,7 @@
             began: now,
             began_ms: wall_ms,
             began_stamp: stamp,
+            lateness: Lateness::new(now),
             granted: false,
             queues: BTreeMap::new(),
             nodes,
