Soak: real controllers under random faults on every link

gorseshore-standins soak plays seeds of faults on the release binary: each link has a fault proxy of its own (held, lost, late, refused, reset, also in one direction), processes end, stand still and end again and again as they lead. Users submit, cancel, ask and repeat at all controllers throughout; a checker judges only what users, workers and the cloud saw, and catches a planted break of each rule. tests/soak.rs plays one seed with more workers than connections.

What hand-outs are set free by has an attack in the leader's tests.

--- a/crates/core/src/leader/tests/hand_outs.rs
+++ b/crates/core/src/leader/tests/hand_outs.rs
@@ -38,3 +38,50 @@
     let kept = names_kept(&b.leader);
     assert!(kept <= before, "{before} names before, {kept} after {CONFIRMED} machines confirmed new grants");
 }
+
+/// Whatever the order in which machines are ruled out, a task stays bound until the last one
+/// of its block is, also when its job allows other machines meanwhile.
+#[test]
+fn a_hand_out_is_free_only_once_its_whole_block_is_ruled_out() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut b = Bench::new(8);
+        let all: Vec<String> = (0..8).map(|i| format!("m{i}")).collect();
+        all.iter().for_each(|id| b.confirm(id, &[]));
+        // Some are spot machines, which the job doesn't allow at first.
+        let spot: Vec<bool> = all.iter().map(|_| rng.u32(0..3) == 0).collect();
+        for (id, spot) in all.iter().zip(&spot) {
+            b.leader.machines.get_mut(&m(id)).unwrap().spot = *spot;
+        }
+        b.job(1, 60, "t", "array", "standard", 1, 4.0);
+        b.tick(30);
+        let Some(attempt) = b.attempt(task(1, 0)) else { continue };
+        let block = b.leader.jobs[&JobId(1)].bound[&0].handed.as_ref().unwrap().machines.clone();
+        let mut left: Vec<String> = all.into_iter().filter(|id| block.contains(&m(id))).collect();
+        let widens_at = rng.usize(0..left.len() * 2);
+        rng.shuffle(&mut left);
+        let mut widened = false;
+        while let Some(id) = left.pop() {
+            if !widened && left.len() == widens_at {
+                widened = true;
+                b.edit(1, 70, |spec| spec.spot = true);
+            }
+            match rng.u32(0..3) {
+                0 => b.leader.deleted(&[m(&id)], b.now),
+                _ => {
+                    let to = b.leader.machines[&m(&id)].holder.unwrap();
+                    b.leader.grant(&m(&id), to, "test", b.now);
+                    b.confirm(&id, &[]);
+                }
+            }
+            assert_eq!(b.leader.check_sums(), Ok(()), "seed {seed}");
+            let allowed = |id: &String| {
+                let spec = &b.leader.jobs[&JobId(1)].spec;
+                b.leader.machines.get(&m(id)).is_some_and(|m| m.suits(spec))
+            };
+            let bound = b.attempt(task(1, 0)) == Some(attempt);
+            assert!(bound || !left.iter().any(allowed), "seed {seed}: free, and may be on {left:?}");
+        }
+        assert_ne!(b.attempt(task(1, 0)), Some(attempt), "seed {seed}: nothing is left, and it is bound");
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod process;
 pub mod scale;
 pub mod site;
+pub mod soak;
 pub mod state;
 pub mod worker;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -3,7 +3,9 @@
 use gorseshore_standins::measure::Load;
 use gorseshore_standins::scale::Sizing;
 use gorseshore_standins::site::{Options, Site};
+use gorseshore_standins::soak::{self, schedule};
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -33,6 +35,91 @@
     MeasureNomad(MeasureArgs),
     /// Measure what decisions cost at several sizes, with slopes.
     Scale(ScaleArgs),
+    /// Play random faults on real controllers and check what users, workers and cloud saw.
+    ///
+    /// Prints each seed's schedule of faults and what it came to. Ends with 1 if a rule was
+    /// broken, with 2 if a run could not be played.
+    Soak(SoakArgs),
+}
+
+#[derive(Args)]
+struct SoakArgs {
+    /// Seeds to play: A..B plays A up to, but not with, B.
+    #[arg(long, value_name = "A..B", value_parser = seed_range)]
+    seeds: Range<u64>,
+    /// Machines that a first job asks for; 0 for what the other jobs need.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u32).range(0..=2000))]
+    workers: u32,
+    /// Controllers.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=15))]
+    controllers: u8,
+    /// Seconds in which faults come; the run goes on for 95 s after the last of them.
+    #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(10..=3600))]
+    seconds: u64,
+    /// Sockets of a controller: few of them, and connections run short.
+    #[arg(long, default_value_t = 8000, value_parser = clap::value_parser!(u32).range(64..=1_000_000))]
+    sockets: u32,
+    /// The controllers' program; without it, gorseshore beside this program.
+    #[arg(long, value_name = "PATH")]
+    program: Option<PathBuf>,
+}
+
+/// Reads `A..B`.
+fn seed_range(text: &str) -> Result<Range<u64>, String> {
+    let (from, to) = text.split_once("..").ok_or("not of the form A..B")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|_| format!("\"{text}\" is not a number"));
+    let range = number(from)?..number(to)?;
+    if range.is_empty() {
+        return Err(format!("{text} holds no seed"));
+    }
+    Ok(range)
+}
+
+/// A run goes on for so long after its last fault: longer than any bound that is checked.
+const CALM: Duration = Duration::from_secs(95);
+
+fn play_soak(args: &SoakArgs) -> ExitCode {
+    let beside = || Some(std::env::current_exe().ok()?.with_file_name("gorseshore"));
+    let Some(program) = args.program.clone().or_else(beside).filter(|program| program.is_file()) else {
+        let named = args.program.as_deref().unwrap_or(Path::new("gorseshore beside this program"));
+        eprintln!("--program: {} is not there", named.display());
+        return ExitCode::from(2);
+    };
+    let settings = soak::Settings {
+        program,
+        controllers: args.controllers as usize,
+        workers: args.workers,
+        sockets: args.sockets as usize,
+        faults: Duration::from_secs(args.seconds),
+        calm: CALM,
+    };
+    let mut broken = 0;
+    for seed in args.seeds.clone() {
+        println!("seed {seed}:");
+        for fault in schedule::faults(seed, settings.controllers, settings.faults) {
+            println!("  {fault}");
+        }
+        let outcome = match soak::run(&settings, seed) {
+            Ok(outcome) => outcome,
+            Err(e) => {
+                eprintln!("seed {seed}: {e}");
+                return ExitCode::from(2);
+            }
+        };
+        println!(
+            "seed {seed}: {} jobs, {} answers, {} starts, {} machines, longest unanswered {:.1} s, {} rules broken",
+            outcome.jobs,
+            outcome.answers,
+            outcome.starts,
+            outcome.machines,
+            outcome.unanswered_s,
+            outcome.violations.len()
+        );
+        outcome.violations.iter().for_each(|v| println!("  {v}"));
+        broken += usize::from(!outcome.violations.is_empty());
+    }
+    println!("{broken} of {} seeds broke a rule", args.seeds.end - args.seeds.start);
+    if broken > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
 
 #[derive(Args)]
@@ -190,6 +277,7 @@
         Verb::Site(args) => args,
         Verb::MeasureNomad(m) => return measure(&m),
         Verb::Scale(a) => return scale(&a),
+        Verb::Soak(a) => return play_soak(&a),
     };
     let operator = match &args.operator_config {
         None => String::new(),
@@ -265,6 +353,12 @@
         for (text, want) in programs {
             assert_eq!(controller_program(text).ok(), want, "{text}");
         }
+        // (argument, seeds)
+        let seeds =
+            [("0..3", Some(0..3)), ("5..5", None), ("6..2", None), ("3", None), ("a..4", None), ("..", None)];
+        for (text, want) in seeds {
+            assert_eq!(seed_range(text).ok(), want, "{text}");
+        }
         // (line, what it says)
         let commands = [
             ("", Some(SiteCommand::End)),
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,23 @@
+//! Real controllers on loopback under random faults: one short seeded run of many workers
+//! with few sockets. `gorseshore-standins soak` plays more.
+use gorseshore_standins::soak::{Settings, run};
+use std::path::PathBuf;
+use std::time::Duration;
+
+const SEED: u64 = 1;
+
+#[test]
+fn rules_hold_under_random_faults_with_more_workers_than_connections() {
+    let settings = Settings {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_gorseshore")),
+        controllers: 3,
+        workers: 60,
+        sockets: 110,
+        faults: Duration::from_secs(30),
+        calm: Duration::from_secs(78),
+    };
+    let outcome = run(&settings, SEED).unwrap();
+    println!("{outcome:?}");
+    assert!(outcome.violations.is_empty(), "seed {SEED}: {:?}", outcome.violations);
+    assert!(outcome.machines > 40 && outcome.jobs > 10 && outcome.starts > 60, "{outcome:?}");
+}
