--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -62,6 +62,9 @@
     /// The controllers' program; without it, gorseshore beside this program.
     #[arg(long, value_name = "PATH")]
     program: Option<PathBuf>,
+    /// Write what was seen of a seed that broke a rule to PREFIX-SEED.txt.
+    #[arg(long, value_name = "PREFIX")]
+    history: Option<String>,
 }
 
 /// Reads `A..B`.
@@ -117,6 +120,13 @@
         );
         outcome.violations.iter().for_each(|v| println!("  {v}"));
         broken += usize::from(!outcome.violations.is_empty());
+        if let Some(prefix) = args.history.as_ref().filter(|_| !outcome.violations.is_empty()) {
+            let path = format!("{prefix}-{seed}.txt");
+            if let Err(e) = std::fs::write(&path, outcome.history.to_string()) {
+                eprintln!("{path}: {e}");
+                return ExitCode::from(2);
+            }
+        }
     }
     println!("{broken} of {} seeds broke a rule", args.seeds.end - args.seeds.start);
     if broken > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
--- a/crates/standins/src/soak/history.rs
+++ b/crates/standins/src/soak/history.rs
@@ -1,5 +1,6 @@
 //! What users, workers and the cloud saw of a run. Times are microseconds of the site's clock.
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::sync::Mutex;
 
 /// What a user asked for.
@@ -94,6 +95,29 @@
     pub ended: u64,
 }
 
+impl fmt::Display for History {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = |us: u64| us as f64 / 1e6;
+        writeln!(f, "calm {:.3} ended {:.3}", seconds(self.calm), seconds(self.ended))?;
+        for (id, job) in &self.jobs {
+            writeln!(f, "job {id} {job:?}")?;
+        }
+        for e in &self.tasks {
+            let (job, index) = e.task;
+            writeln!(f, "task {:.3} {job}/{index} {} {} {:?}", seconds(e.at), e.machine, e.zone, e.change)?;
+        }
+        for r in &self.requests {
+            let (sent, answered) = (seconds(r.sent), seconds(r.answered));
+            writeln!(
+                f,
+                "request {sent:.3} {answered:.3} {} {:?} {} {}",
+                r.job, r.operation, r.status, r.stage
+            )?;
+        }
+        Ok(())
+    }
+}
+
 /// A machine's tasks at a moment.
 #[derive(Debug, Clone, Copy)]
 pub struct MachineView<'a> {
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -72,6 +72,8 @@
     pub starts: usize,
     /// Most machines at a time.
     pub machines: usize,
+    /// What was seen.
+    pub history: History,
     /// The longest that a job went without an answer after the last fault, in seconds.
     pub unanswered_s: f64,
 }
@@ -319,5 +321,6 @@
         starts: history.tasks.iter().filter(|e| e.change == history::TaskChange::Began).count(),
         machines,
         unanswered_s: checker::longest_unanswered(&history) as f64 / 1e6,
+        history,
     })
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -17,7 +17,10 @@
         calm: Duration::from_secs(78),
     };
     let outcome = run(&settings, SEED).unwrap();
-    println!("{outcome:?}");
+    println!(
+        "{} jobs, {} answers, {} starts, longest unanswered {:.1} s",
+        outcome.jobs, outcome.answers, outcome.starts, outcome.unanswered_s
+    );
     assert!(outcome.violations.is_empty(), "seed {SEED}: {:?}", outcome.violations);
-    assert!(outcome.machines > 40 && outcome.jobs > 10 && outcome.starts > 60, "{outcome:?}");
+    assert!(outcome.machines > 40 && outcome.jobs > 10 && outcome.starts > 60);
 }
