Test, failing: cancelled tasks go on where all controllers end in an outage and machines hang

Users heard that a job is cancelled, its tasks went on for as long as their machines hung. Its second test, which passes: a restart of all in an outage costs no machine that works.

--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod limits;
 mod looks;
+mod lost_knowledge;
 mod meetings;
 mod nomad;
 mod odd;
