Cancelled tasks go where nobody knows their places: machines that answer nobody are deleted

What callers saw: a job was confirmed as cancelled and its tasks went on past cancel_s, where their machines hung, the controllers ended and the state service was away (ran_cancelled).

Cause: deletions rested on placements alone. Processes that came back had read no state and held no placements, and had no peer with either; and where only the leader and its witnesses had ended, the others knew the cancellation and no place. Nobody deleted the machines.

Now such a process reads the cloud's list and asks the machines that do not report. A deletion needs no leadership and breaks no rule. A process that is itself late judges nobody, a zone that does not answer condemns no machine, and a process that hears a peer with the state stops.

The calls of the cloud and of a worker's status have one constructor each (node/catalogue.rs); the lateness of a process moved from the leader to the core, since both judge silence by it.

--- a/crates/core/src/deputy.rs
+++ b/crates/core/src/deputy.rs
@@ -1,5 +1,6 @@
 //! A witness in place of a leader that is silent, or that has not led for long enough to
-//! act: cancelled tasks go from their machines even if nobody can lead.
+//! act: cancelled tasks go from their machines even if nobody can lead. Where nobody knows
+//! of any placement, machines that are silent go (`crate::liveness`).
 //!
 //! Invariant: nothing is started, granted or freed here. A stop does no harm, and a
 //! deletion needs no leadership: a later leader finds the machine gone, or deletes it
@@ -10,6 +11,7 @@
 use gorseshore_protocol::ids::{Attempt, MachineId, Micros, TaskId};
 use gorseshore_protocol::workers::{Direct, Order, Report};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A leader that says nothing for so long is stood in for: as long as it may be cut off
 /// before it gives up, and a little. One that has not led for so long, too.
@@ -18,6 +20,8 @@
 const LOOKED_AT: Micros = Micros::millis(200);
 /// A machine that has not answered, or still has a task, is asked again after this.
 const ASK_AGAIN: Micros = Micros::millis(1500);
+/// The same where its silence is all that is known.
+const SILENCE_PROBE_INTERVAL: Micros = Micros::secs(1);
 /// Machines asked at a time, beside the other work: 250 a second, of which 300 wait for
 /// their answers at a time if nobody answers.
 const ASKED_AT_ONCE: usize = 50;
@@ -57,13 +61,51 @@
     Delete(Vec<MachineId>),
 }
 
+/// Why cancelled tasks may be on a machine.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Evidence {
+    /// Placements that are kept here name it.
+    Placement {
+        /// Starts that may still be on their way there.
+        starts: BTreeSet<(TaskId, Attempt)>,
+    },
+    /// Nobody knows what it holds, and it was not heard of late.
+    Silence {
+        /// It does not answer, though others of its zone do.
+        proven: bool,
+    },
+}
+
 /// A machine where cancelled tasks may be.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Suspect {
     /// By when they have to be gone; the earliest.
     pub by: Micros,
-    /// Starts that may still be on their way there.
-    pub starts: BTreeSet<(TaskId, Attempt)>,
+    /// What speaks for it.
+    pub evidence: Evidence,
+}
+
+impl Suspect {
+    /// Whether what the machine answered proves that nothing cancelled is left there.
+    fn cleared_by(&self, place: &Place) -> bool {
+        match &self.evidence {
+            Evidence::Placement { starts } => place.clean && starts.is_subset(&place.shown),
+            Evidence::Silence { .. } => false,
+        }
+    }
+
+    /// How long after a question the next one goes out.
+    fn ask_interval(&self) -> Micros {
+        match self.evidence {
+            Evidence::Placement { .. } => ASK_AGAIN,
+            Evidence::Silence { .. } => SILENCE_PROBE_INTERVAL,
+        }
+    }
+
+    /// Whether the machine may be deleted once its time has come.
+    fn may_be_deleted(&self) -> bool {
+        self.evidence != Evidence::Silence { proven: false }
+    }
 }
 
 /// What is known of a suspect.
@@ -83,6 +125,8 @@
 /// The deputy's state.
 #[derive(Debug, Default)]
 pub struct Deputy {
+    /// The number of this process.
+    process: u64,
     /// The highest term that is known, and since when.
     term: (u64, Micros),
     places: BTreeMap<MachineId, Place>,
@@ -92,6 +136,11 @@
 }
 
 impl Deputy {
+    /// Of a process.
+    pub fn new(process: u64) -> Self {
+        Deputy { process, ..Deputy::default() }
+    }
+
     /// Whether a leader that leads now in `term` has led for long enough to have taken
     /// over what is due. A string of leaders that each end before leaves it to deputies.
     pub fn long_led(&mut self, term: u64, now: Micros) -> bool {
@@ -126,35 +175,35 @@
         // The same part of the time as a leader's (`leader/blocks.rs`), and all is sent when
         // a twentieth is left; the machines are asked well before.
         let ask_before = cancel.scale(70, 100);
-        let delete_before = delete_before(suspects.len(), cancel);
-        let mut order: Vec<(Micros, &MachineId)> = suspects.iter().map(|(id, s)| (s.by, id)).collect();
-        order.sort();
+        let deletable = suspects.values().filter(|s| s.may_be_deleted()).count();
+        let delete_before = delete_before(deletable, cancel);
+        let mut order: Vec<(Micros, &MachineId, &Suspect)> =
+            suspects.iter().map(|(id, s)| (s.by, id, s)).collect();
+        order.sort_by_key(|(by, id, _)| (*by, *id));
         let mut ask = Vec::new();
         let mut doomed = Vec::new();
         let mut unanswered = 0;
-        for (by, id) in order {
+        for (by, id, suspect) in order {
             if now < by - ask_before {
                 break;
             }
-            let starts = &suspects[id].starts;
             let p = self.places.entry(id.clone()).or_default();
-            if p.gone || p.clean && starts.is_subset(&p.shown) {
+            if p.gone || suspect.cleared_by(p) {
                 continue;
             }
-            if p.asked.is_none_or(|t| now.since(t) >= ASK_AGAIN) {
+            if p.asked.is_none_or(|t| now.since(t) >= suspect.ask_interval()) {
                 ask.push((p.asked, by, id.clone()));
             }
             let answered = p.first_asked.is_some_and(|t| now.since(t) >= ASK_AGAIN);
-            let may_go = now >= by - delete_before;
+            let may_go = suspect.may_be_deleted() && now >= by - delete_before;
             unanswered += (may_go && !answered) as usize;
             if may_go && answered && p.again_at.is_none_or(|t| now >= t) {
                 doomed.push((by, id.clone(), p.again_at.is_some()));
             }
         }
-        // Who was never asked comes first: those that don't answer are asked for ever.
-        ask.sort();
-        ask.truncate(ASKED_AT_ONCE);
-        for (.., id) in &ask {
+        let by_silence = suspects.values().any(|s| matches!(s.evidence, Evidence::Silence { .. }));
+        let ask = self.choose_whom_to_ask(ask, by_silence);
+        for id in &ask {
             if let Some(p) = self.places.get_mut(id) {
                 p.first_asked.get_or_insert(now);
                 p.asked = Some(now);
@@ -163,7 +212,7 @@
         }
         let mut acts = Vec::new();
         if !ask.is_empty() {
-            acts.push(Act::Ask(ask.into_iter().map(|(.., id)| id).collect()));
+            acts.push(Act::Ask(ask));
         }
         if now < self.delete_at {
             return acts;
@@ -176,6 +225,29 @@
         acts
     }
 
+    /// Who was never asked comes first: those that don't answer are asked for ever. Where
+    /// silence itself is the evidence, half of the places are for those. Each process has an
+    /// order of its own, so that together they ask all of a large fleet early.
+    fn choose_whom_to_ask(
+        &self,
+        due: Vec<(Option<Micros>, Micros, MachineId)>,
+        by_silence: bool,
+    ) -> Vec<MachineId> {
+        let shuffled = |id: &MachineId| {
+            let mut hasher = DefaultHasher::new();
+            (self.process, id.as_str()).hash(&mut hasher);
+            hasher.finish()
+        };
+        let (mut first, mut again): (Vec<_>, Vec<_>) =
+            due.into_iter().partition(|(asked, ..)| asked.is_none());
+        first.sort_by_key(|(_, by, id)| (*by, shuffled(id)));
+        again.sort();
+        let reserved = if by_silence { ASKED_AT_ONCE / 2 } else { 0 };
+        again.truncate(reserved.max(ASKED_AT_ONCE.saturating_sub(first.len())));
+        first.truncate(ASKED_AT_ONCE - again.len());
+        first.into_iter().chain(again).map(|(.., id)| id).collect()
+    }
+
     /// Which of the machines that are due go now, the earliest first: the budget's, and
     /// more where it would not be done in time, with those that had no time to answer yet.
     fn choose(
--- a/crates/core/src/deputy/tests.rs
+++ b/crates/core/src/deputy/tests.rs
@@ -10,8 +10,10 @@
 
 /// One task of a cancelled job on each machine; `starting`: it may not have arrived.
 fn suspects(machines: usize, starting: bool) -> BTreeMap<MachineId, Suspect> {
-    let suspect =
-        |i: usize| Suspect { by: TOLD + CANCEL, starts: starting.then(|| task(i)).into_iter().collect() };
+    let suspect = |i: usize| {
+        let starts = starting.then(|| task(i)).into_iter().collect();
+        Suspect { by: TOLD + CANCEL, evidence: Evidence::Placement { starts } }
+    };
     (0..machines).map(|i| (MachineId::from(&*format!("m{i}")), suspect(i))).collect()
 }
 
--- a/crates/core/src/lateness.rs
+++ b/crates/core/src/lateness.rs
@@ -10,18 +10,18 @@
 
 /// When this leader last came to its work, and when it was last behind.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Lateness {
+pub(crate) struct Lateness {
     worked_at: Micros,
     behind_until: Micros,
 }
 
 impl Lateness {
-    pub(super) fn new(now: Micros) -> Self {
+    pub(crate) fn new(now: Micros) -> Self {
         Lateness { worked_at: now, behind_until: now }
     }
 
     /// The leader comes to its work.
-    pub(super) fn works(&mut self, now: Micros) {
+    pub(crate) fn works(&mut self, now: Micros) {
         if now.since(self.worked_at) > BEHIND_AFTER {
             self.behind_until = now;
         }
@@ -30,7 +30,7 @@
 
     /// From when the silence of a machine counts that was heard at `last`: from then, or from
     /// when the leader was last behind.
-    pub(super) fn silent_from(&self, last: Micros) -> Micros {
+    pub(crate) fn silent_from(&self, last: Micros) -> Micros {
         last.max(self.behind_until.min(last + SILENT_FOR_CERTAIN))
     }
 }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -10,7 +10,6 @@
 mod dependents;
 pub mod growth;
 pub mod health;
-mod lateness;
 mod machine;
 mod machines;
 mod messages;
@@ -25,8 +24,8 @@
 pub mod ways;
 mod wishes;
 
+use crate::lateness::Lateness;
 use assignments::{AssignedTasks, Handed, may_hold};
-use lateness::Lateness;
 pub use machine::{Machine, Stage};
 use run::{Binding, MISTAKEN, Run};
 use wishes::HireStage;
--- a/crates/core/src/node/catalogue.rs
+++ b/crates/core/src/node/catalogue.rs
@@ -1,7 +1,10 @@
-//! Machine types as the cloud sells them, and the budget of its calls.
+//! Machine types as the cloud sells them, its calls and their budget.
 use crate::controller::Sizes;
+use crate::leader::HireRequest;
+use crate::leader::growth::LIST_PAGE;
 use crate::rate::Bucket;
-use gorseshore_protocol::cloud::{Flavor, Flavors};
+use crate::{Call, Target};
+use gorseshore_protocol::cloud::{Flavor, Flavors, Hire, Hosts};
 use gorseshore_protocol::ids::{Micros, Resources};
 
 /// Machine types and the calls that may be made.
@@ -45,3 +48,34 @@
         self.flavors = f.builds;
     }
 }
+
+/// A call of the cloud is given up after this.
+const CALL_TIMEOUT: Micros = Micros::secs(4);
+
+fn cloud_call(method: &'static str, path: String, body: Vec<u8>) -> Call {
+    Call { target: Target::Cloud, method, path, body, timeout: CALL_TIMEOUT }
+}
+
+/// Rents machines.
+pub(super) fn rent_call(request: &HireRequest) -> Call {
+    let body = Hire {
+        hire: request.name.clone(),
+        build: request.build.clone(),
+        yard: request.zone.clone(),
+        loaners: request.spot,
+        number: request.count,
+    };
+    cloud_call("POST", "/rentals".into(), serde_json::to_vec(&body).unwrap_or_default())
+}
+
+/// Deletes machines.
+pub(super) fn delete_call(names: Vec<String>) -> Call {
+    let body = Hosts { hosts: names };
+    cloud_call("POST", "/rentals/delete".into(), serde_json::to_vec(&body).unwrap_or_default())
+}
+
+/// Asks for a page of the list of machines, after a name.
+pub(super) fn list_call(from: Option<&str>) -> Call {
+    let from = from.map_or(String::new(), |name| format!("from={name}&"));
+    cloud_call("GET", format!("/rentals?{from}limit={LIST_PAGE}"), Vec::new())
+}
--- a/crates/core/src/node/duties.rs
+++ b/crates/core/src/node/duties.rs
@@ -11,6 +11,7 @@
         self.status.ticked(self.now);
         self.expire();
         self.note_informed();
+        self.note_placements();
         self.spread_cancellations();
         self.follow();
         if !self.mirror.state_ok(self.now)
@@ -495,34 +496,12 @@
                 continue;
             }
             l.wish_sent(&w, self.now);
-            let call = |method, path: String, body| Call {
-                target: Target::Cloud,
-                method,
-                path,
-                body,
-                timeout: Micros::secs(4),
+            let call = match &w {
+                CloudWish::Delete(ids) => delete_call(ids.iter().map(|i| i.to_string()).collect()),
+                CloudWish::Hire(request) => rent_call(request),
+                CloudWish::List(from) => list_call(from.as_deref()),
             };
-            let c = match &w {
-                CloudWish::Delete(ids) => {
-                    let b = Hosts { hosts: ids.iter().map(|i| i.to_string()).collect() };
-                    call("POST", "/rentals/delete".into(), serde_json::to_vec(&b).unwrap_or_default())
-                }
-                CloudWish::Hire(r) => {
-                    let b = Hire {
-                        hire: r.name.clone(),
-                        build: r.build.clone(),
-                        yard: r.zone.clone(),
-                        loaners: r.spot,
-                        number: r.count,
-                    };
-                    call("POST", "/rentals".into(), serde_json::to_vec(&b).unwrap_or_default())
-                }
-                CloudWish::List(from) => {
-                    let from = from.as_ref().map_or(String::new(), |f| format!("from={f}&"));
-                    call("GET", format!("/rentals?{from}limit={LIST_PAGE}"), Vec::new())
-                }
-            };
-            let id = self.out.call(c);
+            let id = self.out.call(call);
             self.calls.insert(id, Purpose::Cloud(term, w));
         }
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod duties;
 mod held_check_ins;
 mod host;
+mod knowledge;
 mod leadership;
 mod membership;
 mod mirror;
@@ -18,7 +19,7 @@
 mod workers;
 
 use cancellations::Cancellations;
-use catalogue::Catalogue;
+use catalogue::{Catalogue, delete_call, list_call, rent_call};
 use held_check_ins::HeldCheckIns;
 use leadership::Leadership;
 use membership::{HEARD, Peers};
@@ -33,12 +34,12 @@
 use crate::election::Role;
 use crate::guest::{Guest, GuestInput, GuestOutput, Host, Ticket};
 use crate::jobs::{self, Change, LeaderRecord, Ledger, MachineRecord, Phase, keys};
-use crate::leader::growth::LIST_PAGE;
 use crate::leader::{CloudWish, Context, HireRequest, Leader, LeaderWrite, View};
 use crate::limits::StoreLimits;
+use crate::liveness::LivenessMonitor;
 use crate::peer::{Envelope, Message, Sighting};
 use crate::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
-use gorseshore_protocol::cloud::{Flavors, Hire, Hosts, Rentals};
+use gorseshore_protocol::cloud::{Flavors, Hosts, Rentals};
 use gorseshore_protocol::ids::{Attempt, JobId, MachineId, Micros, NodeId, OWN_IDS, Resources, TaskId};
 use gorseshore_protocol::job::JobSpec;
 use gorseshore_protocol::state::{Grant, Listing, Multi, MultiAnswer, News, When, Write};
@@ -107,8 +108,13 @@
     Flavors,
     Worker(MachineId),
     Probe(MachineId),
+    /// A page of the cloud's list, in a leader's place.
+    MachineList,
     /// A machine that may hold a cancelled task, asked or told in a leader's place.
-    Deputy,
+    Deputy {
+        machine: MachineId,
+        sent: Micros,
+    },
     /// Machines deleted in a leader's place.
     DeputyDelete(Vec<MachineId>),
 }
@@ -124,6 +130,8 @@
     /// When this process began, and when it could last know what was cancelled.
     began: Micros,
     informed: Option<Micros>,
+    /// When a controller was last in touch that knows where tasks may be.
+    placements_at: Micros,
     wall_ms: u64,
     rng: fastrand::Rng,
     out: Outbox,
@@ -142,6 +150,7 @@
     /// Books of leaders that this node is a witness of.
     kept: Kept,
     deputy: Deputy,
+    liveness: LivenessMonitor,
     books_asked: Micros,
     has_guest: bool,
     guest: Option<Box<dyn Guest>>,
@@ -176,6 +185,7 @@
             now,
             began: now,
             informed: None,
+            placements_at: now,
             wall_ms: 0,
             rng: fastrand::Rng::with_seed(seed),
             out: Outbox::default(),
@@ -192,7 +202,8 @@
             held_check_ins: HeldCheckIns::default(),
             ctl: Controller::default(),
             kept: Kept::default(),
-            deputy: Deputy::default(),
+            deputy: Deputy::new(incarnation),
+            liveness: LivenessMonitor::new(Micros::from_secs_f64(d.workers.report_s), now),
             books_asked: Micros(0),
             has_guest: false,
             guest: None,
@@ -289,7 +300,8 @@
                 | Purpose::Flavors
                 | Purpose::Worker(_)
                 | Purpose::Probe(_)
-                | Purpose::Deputy
+                | Purpose::MachineList
+                | Purpose::Deputy { .. }
                 | Purpose::DeputyDelete(_)
         );
         if of_state && !matches!(p, Purpose::Follow) {
@@ -416,15 +428,9 @@
                     self.catalogue.take(f);
                 }
             }
-            Purpose::Deputy => self.deputy_answered(&result),
-            Purpose::DeputyDelete(ids) => {
-                let done = match result {
-                    CallResult::Answer { status, .. } => Some(status == 200),
-                    CallResult::NotSent => Some(false),
-                    CallResult::Unknown => None,
-                };
-                self.deputy.deleted(&ids, done, self.now);
-            }
+            Purpose::MachineList => self.machines_listed(&result),
+            Purpose::Deputy { machine, sent } => self.deputy_answered(&machine, sent, &result),
+            Purpose::DeputyDelete(ids) => self.suspects_deleted(&ids, &result),
             Purpose::Worker(m) => {
                 self.ctl.called(&m, id, &result, self.now);
                 self.drive();
--- a/crates/core/src/node/stand_in.rs
+++ b/crates/core/src/node/stand_in.rs
@@ -1,10 +1,22 @@
 //! A witness's work in place of a leader that is silent (`crate::deputy`).
 use super::*;
-use crate::deputy::{Act, SILENT, Suspect, gone_by};
+use crate::deputy::{Act, Evidence, SILENT, Suspect, gone_by};
 use crate::jobs::Job;
+use crate::peer::Held;
+
+/// A machine's worker is asked for its report so long.
+const STATUS_TIMEOUT: Micros = Micros::millis(1200);
 
 impl Node {
     pub(super) fn stand_in(&mut self) {
+        self.liveness.works(self.now);
+        if let Some(deadline) = self.blind_deadline() {
+            return self.stand_in_blindly(deadline);
+        }
+        if self.liveness.listed_count() > 0 {
+            self.liveness.clear();
+            self.deputy.stand_down();
+        }
         let term = self.leader_term();
         let long = self.deputy.long_led(term, self.now);
         if self.somebody_leads() && long || self.now.since(self.began) < SILENT {
@@ -15,39 +27,77 @@
         }
         let suspects = self.suspects();
         let machines = self.mirror.ledger.machines.len();
-        for act in self.deputy.tick(&suspects, self.ctx.cancel, machines, self.now) {
+        self.enforce_cancellations(&suspects, machines);
+    }
+
+    /// In an outage, where nobody knows what runs where: machines that answer nobody may go on
+    /// with cancelled tasks.
+    fn stand_in_blindly(&mut self, deadline: Micros) {
+        self.list_machines();
+        if !self.deputy.due(self.now) {
+            return;
+        }
+        let suspects = self.liveness.suspects(deadline, self.now);
+        let machines = self.liveness.listed_count();
+        self.enforce_cancellations(&suspects, machines);
+    }
+
+    fn list_machines(&mut self) {
+        let Some(from) = self.liveness.list_due(self.now) else { return };
+        let call = list_call(from);
+        if self.catalogue.bucket.take(self.now, 1.0, 0.0) {
+            self.liveness.list_sent();
+            let id = self.out.call(call);
+            self.calls.insert(id, Purpose::MachineList);
+        }
+    }
+
+    /// A page of the cloud's list came, or none did.
+    pub(super) fn machines_listed(&mut self, result: &CallResult) {
+        let page: Option<Rentals> = match result {
+            CallResult::Answer { status: 200, body } => serde_json::from_slice(body).ok(),
+            _ => None,
+        };
+        self.liveness.listed(page.as_ref().map(|p| (&p.hosts[..], p.truncated)), self.now);
+    }
+
+    fn enforce_cancellations(&mut self, suspects: &BTreeMap<MachineId, Suspect>, machines: usize) {
+        for act in self.deputy.tick(suspects, self.ctx.cancel, machines, self.now) {
             match act {
-                Act::Ask(ids) => {
-                    for id in ids {
-                        let Some(m) = self.mirror.ledger.machines.get(&id) else { continue };
-                        let call = self.out.call(Call {
-                            target: Target::Worker(m.addr.clone()),
-                            method: "GET",
-                            path: "/status".into(),
-                            body: Vec::new(),
-                            timeout: Micros::millis(1200),
-                        });
-                        self.calls.insert(call, Purpose::Deputy);
-                    }
-                }
-                Act::Delete(ids) => {
-                    let names: Vec<String> = ids.iter().map(|i| i.to_string()).collect();
-                    warn!("nobody leads: deleted for cancelled tasks that may be there: {}", names.join(" "));
-                    self.catalogue.bucket.force(self.now, 1.0);
-                    let body = serde_json::to_vec(&Hosts { hosts: names }).unwrap_or_default();
-                    let call = self.out.call(Call {
-                        target: Target::Cloud,
-                        method: "POST",
-                        path: "/rentals/delete".into(),
-                        body,
-                        timeout: Micros::secs(4),
-                    });
-                    self.calls.insert(call, Purpose::DeputyDelete(ids));
-                }
+                Act::Ask(ids) => ids.into_iter().for_each(|id| self.ask_suspect(id)),
+                Act::Delete(ids) => self.delete_suspects(ids),
             }
         }
     }
 
+    fn ask_suspect(&mut self, id: MachineId) {
+        let recorded = self.mirror.ledger.machines.get(&id).map(|m| m.addr.as_str());
+        let Some(address) = recorded.or(self.liveness.address(&id)) else { return };
+        let call = self.out.call(status_call(address.to_owned()));
+        self.calls.insert(call, Purpose::Deputy { machine: id, sent: self.now });
+    }
+
+    fn delete_suspects(&mut self, ids: Vec<MachineId>) {
+        let names: Vec<String> = ids.iter().map(|i| i.to_string()).collect();
+        warn!("nobody leads: deleted for cancelled tasks that may be there: {}", names.join(" "));
+        self.catalogue.bucket.force(self.now, 1.0);
+        let call = self.out.call(delete_call(names));
+        self.calls.insert(call, Purpose::DeputyDelete(ids));
+    }
+
+    /// A deletion ended.
+    pub(super) fn suspects_deleted(&mut self, ids: &[MachineId], result: &CallResult) {
+        let done = match result {
+            CallResult::Answer { status, .. } => Some(*status == 200),
+            CallResult::NotSent => Some(false),
+            CallResult::Unknown => None,
+        };
+        self.deputy.deleted(ids, done, self.now);
+        if done == Some(true) {
+            ids.iter().for_each(|id| self.liveness.deleted(id));
+        }
+    }
+
     /// A leader is heard, or holds its key where the state service can be asked: one behind
     /// a cut deals with what it can reach, and its books here are late.
     fn somebody_leads(&self) -> bool {
@@ -67,11 +117,11 @@
     /// one before. A hand-out may have been started on any machine of its controller, and
     /// what the leader itself had not heard may hold anything.
     fn suspects(&self) -> BTreeMap<MachineId, Suspect> {
-        let mut suspects: BTreeMap<MachineId, Suspect> = BTreeMap::new();
+        let mut suspects: BTreeMap<MachineId, (Micros, BTreeSet<(TaskId, Attempt)>)> = BTreeMap::new();
         let mut add = |id: &MachineId, by: Micros, start: Option<(TaskId, Attempt)>| {
-            let s = suspects.entry(id.clone()).or_insert(Suspect { by, starts: BTreeSet::new() });
-            s.by = s.by.min(by);
-            s.starts.extend(start);
+            let (earliest, starts) = suspects.entry(id.clone()).or_insert((by, BTreeSet::new()));
+            *earliest = (*earliest).min(by);
+            starts.extend(start);
         };
         let machines = &self.mirror.ledger.machines;
         let holder = |id: &MachineId| match self.ctl.holds(id) {
@@ -106,6 +156,9 @@
             }
         }
         suspects
+            .into_iter()
+            .map(|(id, (by, starts))| (id, Suspect { by, evidence: Evidence::Placement { starts } }))
+            .collect()
     }
 
     fn may_hold(&self, job: &Job, m: &MachineRecord) -> bool {
@@ -114,11 +167,15 @@
         spec.allows(&m.build, &m.zone, m.spot, size)
     }
 
-    /// A machine answered a question or a stop: both answer with its report.
-    pub(super) fn deputy_answered(&mut self, result: &CallResult) {
+    /// A question or a stop ended; a machine answers both with its report.
+    pub(super) fn deputy_answered(&mut self, machine: &MachineId, sent: Micros, result: &CallResult) {
+        if *result == CallResult::Unknown {
+            return self.liveness.unanswered(machine, sent);
+        }
         let CallResult::Answer { status: 200 | 409, body } = result else { return };
         let Ok(r) = serde_json::from_slice::<Report>(body) else { return };
         let Some(tasks) = read_tasks(&r) else { return };
+        self.note_heard(&r, &tasks);
         let unwanted = Controller::stops_for_stranger(&tasks, &self.mirror.ledger);
         let Some(stops) = self.deputy.answered(&r, unwanted) else { return };
         let call = self.out.call(Call {
@@ -126,8 +183,27 @@
             method: "POST",
             path: "/do".into(),
             body: serde_json::to_vec(&stops).unwrap_or_default(),
-            timeout: Micros::millis(1200),
+            timeout: STATUS_TIMEOUT,
         });
-        self.calls.insert(call, Purpose::Deputy);
+        self.calls.insert(call, Purpose::Deputy { machine: machine.clone(), sent: self.now });
+    }
+
+    /// A worker reported, or answered.
+    pub(super) fn note_heard(&mut self, report: &Report, tasks: &[Held]) {
+        // Records and placements say more.
+        if !self.mirror.loaded || self.liveness.listed_count() > 0 {
+            let has_tasks = tasks.iter().any(|t| !t.state.exited());
+            self.liveness.heard(MachineId::from(&*report.host), has_tasks, self.now);
+        }
+    }
+}
+
+fn status_call(address: String) -> Call {
+    Call {
+        target: Target::Worker(address),
+        method: "GET",
+        path: "/status".into(),
+        body: Vec::new(),
+        timeout: STATUS_TIMEOUT,
     }
 }
