Test, failing: controllers that are behind never catch up

A property of the world: an entry of a message between controllers costs processor time, and what comes to a busy controller waits.

--- /dev/null
+++ b/tests/world/load.rs
@@ -0,0 +1,131 @@
+//! Controllers for which messages cost processor time: what comes while one is busy waits.
+use super::*;
+use gorseshore_core::peer::Message;
+use std::collections::VecDeque;
+
+/// What each controller is busy with.
+pub struct Load {
+    /// Microseconds that an entry of a message between controllers takes; 0: none.
+    pub entry_cost: u64,
+    busy_until: Vec<u64>,
+    waiting: Vec<VecDeque<Input>>,
+    /// Entries that were handled.
+    pub entries: u64,
+}
+
+impl Load {
+    pub fn new(nodes: usize) -> Self {
+        let waiting = (0..nodes).map(|_| VecDeque::new()).collect();
+        Load { entry_cost: 0, busy_until: vec![0; nodes], waiting, entries: 0 }
+    }
+}
+
+/// What of a message takes time for each of its entries.
+fn entries(message: &Message) -> u64 {
+    let count = match message {
+        Message::Sync { machines, heard, outcomes, .. } => machines.len() + heard.len() + outcomes.len(),
+        Message::Update { block, elsewhere, handouts, stops, .. } => {
+            block.len() + elsewhere.len() + handouts.len() + stops.len()
+        }
+        Message::Books(page) | Message::BooksOf(page) => page.tasks.len(),
+        _ => 0,
+    };
+    count as u64
+}
+
+fn input_entries(input: &Input) -> u64 {
+    match input {
+        Input::Peer { message, .. } => entries(message),
+        _ => 0,
+    }
+}
+
+impl World {
+    /// How far a controller is behind: how long it takes to handle what is there.
+    pub fn behind(&self, n: usize) -> u64 {
+        let waiting = self.load.waiting[n].iter().map(input_entries).sum::<u64>();
+        self.load.busy_until[n].saturating_sub(self.now) + waiting * self.load.entry_cost
+    }
+
+    /// Puts an input aside if its controller is busy.
+    pub fn wait_while_busy(&mut self, n: usize, input: Input) -> Option<Input> {
+        if self.load.entry_cost == 0 || self.load.busy_until[n] <= self.now && self.load.waiting[n].is_empty()
+        {
+            return Some(input);
+        }
+        let queue = &mut self.load.waiting[n];
+        // A timer that is due once is due.
+        let ticks = matches!(input, Input::Tick) && queue.iter().any(|i| matches!(i, Input::Tick));
+        if !ticks {
+            queue.push_back(input);
+        }
+        None
+    }
+
+    /// A controller handles an input: it is busy with it for a while.
+    pub fn spend(&mut self, n: usize, input: &Input) {
+        let entries = input_entries(input);
+        self.load.entries += entries;
+        let cost = entries * self.load.entry_cost;
+        if cost > 0 {
+            self.load.busy_until[n] = self.now + cost;
+            self.at(cost, Event::Idle(n, self.incarnations[n]));
+        }
+    }
+
+    /// A controller is through with what it did: it goes on with what waits.
+    pub fn idle(&mut self, n: usize, incarnation: u64) {
+        if self.incarnations[n] != incarnation {
+            return;
+        }
+        while self.load.busy_until[n] <= self.now {
+            let Some(input) = self.load.waiting[n].pop_front() else { return };
+            self.handle(n, input);
+        }
+    }
+
+    /// Its process ended.
+    pub fn forget_load(&mut self, n: usize) {
+        self.load.busy_until[n] = 0;
+        self.load.waiting[n].clear();
+    }
+}
+
+/// Entries cost this much: a leader that is told of each change once is busy for a tenth of its
+/// time.
+const ENTRY_COST: u64 = 4 * MS;
+/// So long after the last trouble no controller is behind any more.
+const CATCH_UP: u64 = 30 * S;
+/// More than a tick or two.
+const BEHIND: u64 = S / 2;
+
+/// Messages that repeat all that is not acknowledged, the more often the later the
+/// acknowledgements are, once kept a leader behind for ever after all had ended.
+#[test]
+fn controllers_that_are_behind_catch_up() {
+    let mut failed = Vec::new();
+    for seed in seeds("LOAD_SEEDS", 0, 4) {
+        let mut w = World::new(seed, true, GROWN);
+        w.load.entry_cost = ENTRY_COST;
+        w.run(40 * S);
+        let before = w.load.entries;
+        for n in 0..w.size.nodes {
+            w.end_process(n, 200 * MS);
+        }
+        let mut behind = Vec::new();
+        for second in 41..=100 {
+            w.run(second * S);
+            let worst = (0..w.size.nodes).map(|n| w.behind(n)).max().unwrap_or(0);
+            behind.push(worst / MS);
+        }
+        println!(
+            "seed {seed}: {before} entries before, {} after, behind {behind:?}",
+            w.load.entries - before
+        );
+        let late = &behind[(CATCH_UP / S) as usize..];
+        if late.iter().any(|ms| *ms > BEHIND / MS) || !w.broken.is_empty() {
+            failed.push(format!("seed {seed}: ms behind {late:?}, {:?}", w.broken.first()));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -6,6 +6,7 @@
 mod desk;
 mod fleet;
 mod limits;
+mod load;
 mod looks;
 mod lost_knowledge;
 mod meetings;
@@ -287,6 +288,8 @@
     Heal,
     /// An input that came while its controller stood still.
     Fed(usize, u64, Input),
+    /// A controller is through with what kept it busy.
+    Idle(usize, u64),
     EndLeader,
     EndForGood(usize),
     /// A user looks closely: at which controller, in which way, at which job.
@@ -364,6 +367,7 @@
     faults: scenes::Faults,
     looks: looks::Seen,
     pipelines: pipelines::Seen,
+    load: load::Load,
 }
 
 impl World {
@@ -409,6 +413,7 @@
             faults: scenes::Faults::new(size.nodes),
             looks: looks::Seen::default(),
             pipelines: pipelines::Seen::new(seed),
+            load: load::Load::new(size.nodes),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -476,6 +481,16 @@
             // The next tick finds what it missed.
             return self.at(frozen - now, Event::Fed(n, me, input));
         }
+        if let Some(input) = self.wait_while_busy(n, input) {
+            self.handle(n, input);
+        }
+    }
+
+    /// A controller takes an input; what it says is carried out.
+    fn handle(&mut self, n: usize, input: Input) {
+        let now = self.now;
+        let me = self.incarnations[n];
+        self.spend(n, &input);
         let steady = self.steady(n);
         let Some(node) = self.nodes[n].as_mut() else { return };
         let wall_ms = WALL_MS + now / 1000 + self.blink.ahead_ms[n];
@@ -1281,6 +1296,7 @@
                 }
                 self.incarnations[n] = node.incarnation();
                 self.nodes[n] = Some(node);
+                self.forget_load(n);
                 self.at(0, Event::Tick(n, self.incarnations[n]));
             }
             Event::Arrive(n, me, id, call) => {
@@ -1337,6 +1353,7 @@
                 self.at(self.size.cancel, Event::Heal);
             }
             Event::LowerLimits => self.lower_limits(),
+            Event::Idle(n, me) => self.idle(n, me),
             Event::Fed(n, me, input) => {
                 if self.incarnations[n] == me {
                     self.feed(n, input);
