Controllers that are behind catch up: one unacknowledged message under way to who is slow

What users met: after the last fault, with thousands of machines, a leader that answered no question for minutes and 503 for cancelled jobs.

Cause: views, updates and pages of placements repeat all that is not acknowledged, and left every 10 to 40 ms whether anything came back or not; who was slow was sent more the slower it was.

Now one type, peer/pacing.rs, says when the next one may leave, in place of a timer at each caller: at the caller's interval while acknowledgements come in time, else one at a time, with retries that back off up to 2 s. And the receiver reads what is there before it handles it, and leaves out what a later message of the same process repeats (peer/inbox.rs): as if it had been lost, which the bases stand. What is acknowledged, the order and the bases are as before.

--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -16,6 +16,7 @@
 //!
 //! So the books of any one witness, taken after the old leader's lease ended,
 //! hold all places where a task may be (`docs/safety.md`).
+use crate::peer::pacing::Pacer;
 use borsh::{BorshDeserialize, BorshSerialize};
 use gorseshore_protocol::ids::{Attempt, MachineId, Micros, NodeId, TaskId};
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,8 @@
 const WHOLE_AGAIN: Micros = Micros::millis(900);
 /// Books that a hand-out waits for go out no more often than this.
 const PACE: Micros = Micros::millis(10);
+/// Who keeps up acknowledges within this.
+const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(200);
 /// The same for other changes, which may come late.
 const LAZY: Micros = Micros::millis(400);
 /// Most witnesses.
@@ -167,16 +170,23 @@
 }
 
 /// What the leader knows of a controller as a witness.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct Reader {
     incarnation: u64,
     acked: u64,
     sent: u64,
-    sent_at: Micros,
+    pacer: Pacer,
     /// Since when it owes an acknowledgement.
     owes: Option<Micros>,
 }
 
+impl Reader {
+    /// A process that has taken nothing.
+    fn new(incarnation: u64) -> Self {
+        Reader { incarnation, acked: 0, sent: 0, pacer: Pacer::new(ACKNOWLEDGED_WITHIN), owes: None }
+    }
+}
+
 /// The leader's side: numbers for changes, who has taken what, and the record.
 #[derive(Debug)]
 pub struct Ledgers {
@@ -222,7 +232,7 @@
         Ledgers {
             term,
             me,
-            readers: vec![Reader::default(); names.len()],
+            readers: vec![Reader::new(0); names.len()],
             names,
             zones,
             // The empty books are a page, too.
@@ -314,6 +324,7 @@
         }
         self.moved |= r.acked < self.waited;
         r.acked = seq;
+        r.pacer.acknowledged(seq, now);
         r.owes = (r.sent > seq).then_some(now);
     }
 
@@ -353,19 +364,18 @@
         for (n, incarnation) in readers {
             let Some(r) = self.readers.get_mut(n.0 as usize) else { continue };
             if r.incarnation != incarnation {
-                *r = Reader { incarnation, ..Reader::default() };
+                *r = Reader::new(incarnation);
             }
-            let since = now.since(r.sent_at);
             let again = if r.acked == 0 { WHOLE_AGAIN } else { AGAIN };
             let pace = if self.waited > r.sent { PACE } else { LAZY };
-            let news = self.seq > r.sent && since >= pace && (r.acked > 0 || r.sent == 0);
-            let owed = r.acked < r.sent && since >= again;
+            let news = self.seq > r.sent && r.pacer.may_send(pace, now) && (r.acked > 0 || r.sent == 0);
+            let owed = r.acked < r.sent && r.pacer.may_send(again, now);
             if !news && !owed {
                 continue;
             }
             let base = if r.acked < self.forgotten { 0 } else { r.acked };
             r.sent = self.seq;
-            r.sent_at = now;
+            r.pacer.sent(self.seq, now);
             r.owes.get_or_insert(now);
             due.push((n, base));
         }
--- a/crates/core/src/controller/block.rs
+++ b/crates/core/src/controller/block.rs
@@ -65,6 +65,7 @@
             self.acked = 0;
             self.base = 0;
             self.sync_sent.clear();
+            self.pacer = Pacer::new(ACKNOWLEDGED_WITHIN);
             self.lease_until = Micros(0);
             self.running.clear();
             for w in self.workers.values_mut() {
@@ -89,6 +90,11 @@
         }
     }
 
+    /// The leader's acknowledgement of a view came.
+    pub fn view_acknowledged(&mut self, ack: u64, now: Micros) {
+        self.pacer.acknowledged(ack, now);
+    }
+
     /// The leader took the `Sync` numbered `ack`.
     pub fn take_ack(&mut self, ack: u64, lease: Micros) {
         self.base = ack;
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -13,6 +13,7 @@
 use worker::{DirectCall, Sending, Start, Stop, Worker, over};
 
 use crate::jobs::{Job, Ledger, Phase};
+use crate::peer::pacing::Pacer;
 use crate::peer::{
     GrantedMachine, HandOut, Held, MachineState, Message, Outcome, Sighting, StopRequest, TaskState,
 };
@@ -32,7 +33,7 @@
 }
 
 /// The part's state.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Controller {
     workers: BTreeMap<MachineId, Worker>,
     outcomes: BTreeMap<Attempt, Placed>,
@@ -42,6 +43,7 @@
     /// Until then tasks may be started.
     lease_until: Micros,
     sync_seq: u64,
+    pacer: Pacer,
     sync_sent: BTreeMap<u64, Micros>,
     acked: u64,
     /// The `Sync` of this term that the leader has taken; the next one tells
@@ -58,6 +60,31 @@
     pub running: BTreeMap<JobId, u32>,
 }
 
+/// The leader acknowledges a view within this, unless it is behind or out of reach.
+const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(300);
+
+impl Default for Controller {
+    fn default() -> Self {
+        Controller {
+            workers: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            term: 0,
+            update_seq: 0,
+            lease_until: Micros(0),
+            sync_seq: 0,
+            pacer: Pacer::new(ACKNOWLEDGED_WITHIN),
+            sync_sent: BTreeMap::new(),
+            acked: 0,
+            base: 0,
+            dirty: false,
+            touched: BTreeSet::new(),
+            swept: Micros(0),
+            directory: BTreeMap::new(),
+            running: BTreeMap::new(),
+        }
+    }
+}
+
 /// A worker that was silent for so long is asked by its holder.
 pub const ASKED_AFTER: Micros = Micros::millis(2800);
 /// How long its answer is waited for.
--- a/crates/core/src/controller/view.rs
+++ b/crates/core/src/controller/view.rs
@@ -8,6 +8,7 @@
         self.sync_seq += 1;
         let seq = self.sync_seq;
         self.sync_sent.insert(seq, now);
+        self.pacer.sent(seq, now);
         while self.sync_sent.len() > 64 {
             self.sync_sent.pop_first();
         }
@@ -63,6 +64,11 @@
         Message::Sync { term, seq, base, seen, machines, heard, strangers, outcomes }
     }
 
+    /// Whether the leader may be sent a view, `interval` after the last one if it keeps up.
+    pub fn may_sync(&self, interval: Micros, now: Micros) -> bool {
+        self.pacer.may_send(interval, now)
+    }
+
     /// Whether the leader of `term` knows nothing of this controller yet.
     pub fn unknown_to(&self, term: u64) -> bool {
         term != self.term || self.base == 0
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -14,7 +14,7 @@
             // Another process: what the last one held or was handed is in
             // nobody's mind now. Its machines need a new grant.
             let first = node.incarnation == 0;
-            *node = Node { incarnation, since: now, ..Node::default() };
+            *node = Node::new(incarnation, now);
             if !first {
                 info!("controller {} restarted", from.0);
                 let stamp = self.version + 1;
@@ -38,6 +38,7 @@
         }
         node.sync_seq = view.seq;
         node.seen = view.seen;
+        node.pacer.acknowledged(view.seen, now);
         node.owed |= !view.machines.is_empty() || !view.outcomes.is_empty();
         if node.heard.is_none_or(|t| now.since(t) > Micros::millis(2500)) {
             node.contact_since = now;
--- a/crates/core/src/leader/messages.rs
+++ b/crates/core/src/leader/messages.rs
@@ -6,6 +6,13 @@
 /// A hand-out that had no outcome for so long is sent again.
 const HAND_OUT_AGAIN: Micros = Micros::millis(250);
 
+/// Orders go to a controller this often, if it keeps up.
+const NEWS_INTERVAL: Micros = Micros::millis(15);
+/// What it told is acknowledged this often.
+const ACKNOWLEDGEMENT_INTERVAL: Micros = Micros::millis(100);
+/// It is told who leads this often.
+const IDLE_INTERVAL: Micros = Micros::millis(500);
+
 impl Leader {
     /// Messages that are due.
     pub fn messages(&mut self, now: Micros, lease_ok: bool) -> Vec<(NodeId, Message)> {
@@ -25,10 +32,12 @@
             if n.incarnation == 0 || n.heard.is_none_or(|t| now.since(t) > Micros::secs(5)) {
                 continue;
             }
-            let age = now.since(n.sent);
-            let due = age >= Micros::millis(500)
-                || n.dirty && age >= Micros::millis(15)
-                || n.owed && age >= Micros::millis(100);
+            let interval = match (n.dirty, n.owed) {
+                (true, _) => NEWS_INTERVAL,
+                (false, true) => ACKNOWLEDGEMENT_INTERVAL,
+                (false, false) => IDLE_INTERVAL,
+            };
+            let due = n.pacer.may_send(interval, now);
             if due {
                 let m = self.update(to, now, lease_ok);
                 out.push((to, m));
@@ -46,7 +55,7 @@
         self.version += 1;
         let seq = self.version;
         let node = &mut self.nodes[to.0 as usize];
-        node.sent = now;
+        node.pacer.sent(seq, now);
         node.dirty = false;
         node.owed = false;
         let base = if node.seen < self.forgotten { 0 } else { node.seen };
--- a/crates/core/src/node/membership.rs
+++ b/crates/core/src/node/membership.rs
@@ -26,7 +26,6 @@
     pub leader_known: Option<(u64, NodeId)>,
     /// When a leader of that term was last heard.
     pub led_at: Micros,
-    pub sync_at: Micros,
     pub sync_term: u64,
     pub ping_at: Micros,
 }
@@ -41,7 +40,6 @@
             states: vec![Peer::default(); nodes],
             leader_known: None,
             led_at: Micros(0),
-            sync_at: Micros(0),
             sync_term: 0,
             ping_at: Micros(0),
         }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -1,6 +1,13 @@
 //! Messages between controllers, and their ways round a cut.
 use super::*;
 
+/// News go to the leader this often, if it keeps up.
+const VIEW_INTERVAL: Micros = Micros::millis(40);
+/// The same while it knows nothing of this controller yet.
+const WHOLE_VIEW_INTERVAL: Micros = Micros::millis(200);
+/// The same where there are none.
+const IDLE_VIEW_INTERVAL: Micros = Micros::millis(500);
+
 impl Node {
     pub(super) fn leader_node(&self) -> Option<NodeId> {
         if self.leadership.leader.is_some() {
@@ -151,6 +158,7 @@
                 if added > 0 {
                     debug!("block: {added} machines granted");
                 }
+                self.ctl.view_acknowledged(ack, self.now);
                 self.ctl.take_ack(ack, lease);
                 self.ctl.take_running(base == 0, &running);
                 self.ctl.take_handouts(&handouts, &self.mirror.ledger, &self.catalogue.sizes, self.now);
@@ -214,15 +222,17 @@
 
     pub(super) fn sync(&mut self, force: bool) {
         let Some(to) = self.leader_node() else { return };
-        let age = self.now.since(self.peers.sync_at);
         let term = self.leader_term();
         let first = std::mem::replace(&mut self.peers.sync_term, term) != term;
         // A leader that has acknowledged nothing is sent everything, less often.
-        let pause = Micros::millis(if self.ctl.unknown_to(term) { 200 } else { 40 });
-        if !(force || first || self.ctl.dirty && age >= pause || age >= Micros::millis(500)) {
+        let pause = match (self.ctl.dirty, self.ctl.unknown_to(term)) {
+            (true, true) => WHOLE_VIEW_INTERVAL,
+            (true, false) => VIEW_INTERVAL,
+            (false, _) => IDLE_VIEW_INTERVAL,
+        };
+        if !(force || first || self.ctl.may_sync(pause, self.now)) {
             return;
         }
-        self.peers.sync_at = self.now;
         let recent = self.now - Micros::millis(2500);
         self.held_check_ins.strangers.retain(|_, (t, ..)| *t > recent);
         let strangers = self.held_check_ins.strangers.iter().map(|(id, (_, report, asked))| Sighting {
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -6,6 +6,9 @@
 use gorseshore_protocol::workers::ReportNo;
 use thiserror::Error;
 
+pub mod inbox;
+pub mod pacing;
+
 /// Version of the messages; a frame of another version is refused.
 pub const VERSION: u8 = 5;
 /// Longest frame taken.
--- a/crates/shell/src/peers.rs
+++ b/crates/shell/src/peers.rs
@@ -3,15 +3,19 @@
 use super::Shell;
 use super::server::within;
 use gorseshore_core::Input;
-use gorseshore_core::peer;
+use gorseshore_core::peer::inbox::Inbox;
+use gorseshore_core::peer::{self, Envelope};
 use gorseshore_protocol::ids::NodeId;
 use log::{debug, warn};
 use smol::channel::{Receiver, Sender};
+use smol::future::poll_once;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +23,9 @@
 /// is sent again, so what comes beyond is left out; a longer frame goes alone.
 const MOST_WAITING: usize = 1 << 20;
 
+/// Everybody sends twice a second; a connection that is silent for so long is dead.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// Frames that wait for a peer. Invariant: `bytes` is the length of those in the queue.
 pub struct Outgoing {
     queue: Sender<Vec<u8>>,
@@ -96,25 +103,63 @@
     }
 }
 
+/// Frames that are read before the first of them is handled, where more and more come.
+const MAX_FRAMES_AT_ONCE: usize = 64;
+
+/// Takes a peer's messages. What is there is read first, so that this process, if it is behind,
+/// handles only the newest of what repeats itself.
 async fn receive(shell: &Rc<Shell>, mut stream: TcpStream, nodes: usize) -> Result<(), peer::FrameError> {
-    let mut head = [0u8; peer::HEAD];
+    let mut inboxes: BTreeMap<NodeId, Inbox> = BTreeMap::new();
+    let mut frames = 0;
     loop {
-        // Everybody sends twice a second; a silent connection is dead.
-        let n = within(Duration::from_secs(120), stream.read_exact(&mut head)).await;
-        if !matches!(n, Some(Ok(_))) {
+        let envelope = {
+            let mut next = pin!(read_envelope(&mut stream));
+            match poll_once(&mut next).await {
+                Some(envelope) => envelope,
+                None => {
+                    handle_waiting(shell, &mut inboxes);
+                    frames = 0;
+                    next.await
+                }
+            }
+        };
+        let Some(envelope) = envelope.inspect_err(|_| handle_waiting(shell, &mut inboxes))? else {
+            handle_waiting(shell, &mut inboxes);
             return Ok(());
+        };
+        if (envelope.from.0 as usize) < nodes && envelope.from != shell.me {
+            inboxes.entry(envelope.from).or_default().put(envelope.incarnation, envelope.message);
         }
-        let len = peer::decode_head(head)?;
-        // Room is taken as the frame comes, not as its head claims.
-        let mut body = Vec::new();
-        (&mut stream).take(len as u64).read_to_end(&mut body).await?;
-        let e = peer::decode_body(&body)?;
-        if (e.from.0 as usize) < nodes && e.from != shell.me {
-            shell.input(Input::Peer { from: e.from, incarnation: e.incarnation, message: e.message });
+        frames += 1;
+        if frames == MAX_FRAMES_AT_ONCE {
+            handle_waiting(shell, &mut inboxes);
+            frames = 0;
         }
     }
 }
 
+fn handle_waiting(shell: &Rc<Shell>, inboxes: &mut BTreeMap<NodeId, Inbox>) {
+    for (from, inbox) in inboxes {
+        while let Some((incarnation, message)) = inbox.take() {
+            shell.input(Input::Peer { from: *from, incarnation, message });
+        }
+    }
+}
+
+/// The next frame; `None` where the connection is over.
+async fn read_envelope(stream: &mut TcpStream) -> Result<Option<Envelope>, peer::FrameError> {
+    let mut head = [0u8; peer::HEAD];
+    let read = within(IDLE_TIMEOUT, stream.read_exact(&mut head)).await;
+    if !matches!(read, Some(Ok(_))) {
+        return Ok(None);
+    }
+    let len = peer::decode_head(head)?;
+    // Room is taken as the frame comes, not as its head claims.
+    let mut body = Vec::new();
+    stream.take(len as u64).read_to_end(&mut body).await?;
+    peer::decode_body(&body).map(Some)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/tests/world/load.rs
+++ b/tests/world/load.rs
@@ -1,14 +1,26 @@
 //! Controllers for which messages cost processor time: what comes while one is busy waits.
 use super::*;
 use gorseshore_core::peer::Message;
+use gorseshore_core::peer::inbox::Inbox;
+use gorseshore_protocol::ids::NodeId;
 use std::collections::VecDeque;
 
+/// What waits for a busy controller, in the order in which it came.
+#[derive(Debug)]
+enum Waits {
+    Input(Input),
+    /// The next message of this sender.
+    Message(NodeId),
+}
+
 /// What each controller is busy with.
 pub struct Load {
     /// Microseconds that an entry of a message between controllers takes; 0: none.
     pub entry_cost: u64,
     busy_until: Vec<u64>,
-    waiting: Vec<VecDeque<Input>>,
+    waiting: Vec<VecDeque<Waits>>,
+    /// Messages that wait, by receiver and sender.
+    inboxes: Vec<Vec<Inbox>>,
     /// Entries that were handled.
     pub entries: u64,
 }
@@ -16,7 +28,8 @@
 impl Load {
     pub fn new(nodes: usize) -> Self {
         let waiting = (0..nodes).map(|_| VecDeque::new()).collect();
-        Load { entry_cost: 0, busy_until: vec![0; nodes], waiting, entries: 0 }
+        let inboxes = (0..nodes).map(|_| (0..nodes).map(|_| Inbox::default()).collect()).collect();
+        Load { entry_cost: 0, busy_until: vec![0; nodes], waiting, inboxes, entries: 0 }
     }
 }
 
@@ -43,7 +56,7 @@
 impl World {
     /// How far a controller is behind: how long it takes to handle what is there.
     pub fn behind(&self, n: usize) -> u64 {
-        let waiting = self.load.waiting[n].iter().map(input_entries).sum::<u64>();
+        let waiting = self.load.inboxes[n].iter().flat_map(Inbox::iter).map(entries).sum::<u64>();
         self.load.busy_until[n].saturating_sub(self.now) + waiting * self.load.entry_cost
     }
 
@@ -54,14 +67,33 @@
             return Some(input);
         }
         let queue = &mut self.load.waiting[n];
-        // A timer that is due once is due.
-        let ticks = matches!(input, Input::Tick) && queue.iter().any(|i| matches!(i, Input::Tick));
-        if !ticks {
-            queue.push_back(input);
+        match input {
+            Input::Peer { from, incarnation, message } => {
+                self.load.inboxes[n][from.0 as usize].put(incarnation, message);
+                queue.push_back(Waits::Message(from));
+            }
+            // A timer that is due once is due.
+            Input::Tick if queue.iter().any(|w| matches!(w, Waits::Input(Input::Tick))) => {}
+            input => queue.push_back(Waits::Input(input)),
         }
         None
     }
 
+    /// What comes next of what waits.
+    fn next_waiting(&mut self, n: usize) -> Option<Input> {
+        loop {
+            match self.load.waiting[n].pop_front()? {
+                Waits::Input(input) => return Some(input),
+                Waits::Message(from) => {
+                    // Fewer are left than came if a later one says it all.
+                    if let Some((incarnation, message)) = self.load.inboxes[n][from.0 as usize].take() {
+                        return Some(Input::Peer { from, incarnation, message });
+                    }
+                }
+            }
+        }
+    }
+
     /// A controller handles an input: it is busy with it for a while.
     pub fn spend(&mut self, n: usize, input: &Input) {
         let entries = input_entries(input);
@@ -79,7 +111,7 @@
             return;
         }
         while self.load.busy_until[n] <= self.now {
-            let Some(input) = self.load.waiting[n].pop_front() else { return };
+            let Some(input) = self.next_waiting(n) else { return };
             self.handle(n, input);
         }
     }
@@ -88,11 +120,12 @@
     pub fn forget_load(&mut self, n: usize) {
         self.load.busy_until[n] = 0;
         self.load.waiting[n].clear();
+        self.load.inboxes[n].iter_mut().for_each(|i| *i = Inbox::default());
     }
 }
 
-/// Entries cost this much: a leader that is told of each change once is busy for a tenth of its
-/// time.
+/// Entries cost this much: controllers that are told of each change once are busy for about a tenth
+/// of their time.
 const ENTRY_COST: u64 = 4 * MS;
 /// So long after the last trouble no controller is behind any more.
 const CATCH_UP: u64 = 30 * S;
