Silent machines: a zone answers if a fifth of it does, and a zone of three machines needs no neighbour

In the controller's own zone, where no cut lies between, up to three machines may all be silent if anything else is heard. Where a zone does not answer, the silence of its machines now counts anew once it does, so that the end of a cut condemns nobody.

--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -3,9 +3,8 @@
 //!
 //! It is for a process that knows neither the records nor any placements: every machine that
 //! is silent may hold a cancelled task. Invariant: a machine is called silent only if this
-//! process itself was on time, probed it in vain for `SILENT_AFTER`, and heard at least as many
-//! machines of its zone since as are silent there, so that a cut or a controller that lags
-//! condemns nobody.
+//! process itself was on time, probed it in vain for `SILENT_AFTER`, and all that time heard
+//! enough of its zone, so that a cut or a controller that lags condemns nobody.
 use crate::deputy::{Evidence, Suspect};
 use crate::lateness::Lateness;
 use gorseshore_protocol::cloud::Rental;
@@ -16,6 +15,11 @@
 const SILENT_AFTER: Micros = Micros::secs(3);
 /// Unanswered probes that it takes besides.
 const MIN_UNANSWERED_PROBES: u32 = 3;
+/// A zone answers if so many machines that are silent come with one that was heard.
+const MAX_SILENT_PER_HEARD: usize = 4;
+/// So few machines of this controller's own zone may all be silent: no cut lies between, so that
+/// what is heard of other zones shows that the controller itself hears.
+const FEW_MACHINES: usize = 3;
 /// The machines are listed again this long after the last page.
 const LIST_INTERVAL: Micros = Micros::secs(3);
 /// A page that did not come is asked for again after this.
@@ -44,15 +48,31 @@
 /// Machines of a zone, those that were never heard with the others.
 #[derive(Debug, Default)]
 struct ZoneCount {
+    machines: usize,
     silent: usize,
     heard: Vec<Micros>,
 }
 
 impl ZoneCount {
-    /// Whether as many of its machines were heard from some time on as are silent.
-    fn answers_since(&self, since: Micros) -> bool {
-        let heard = self.heard.iter().filter(|t| **t >= since).count();
-        heard > 0 && heard >= self.silent
+    fn heard_since(&self, since: Micros) -> usize {
+        self.heard.iter().filter(|t| **t >= since).count()
+    }
+}
+
+/// All zones.
+#[derive(Debug, Default)]
+struct ZoneCounts {
+    zones: BTreeMap<String, ZoneCount>,
+}
+
+impl ZoneCounts {
+    /// Whether enough of a zone was heard from some time on for silence there to mean something.
+    fn answers_since(&self, zone: &str, own_zone: &str, since: Micros) -> bool {
+        let Some(count) = self.zones.get(zone) else { return false };
+        let heard = count.heard_since(since);
+        let few = zone == own_zone && count.machines <= FEW_MACHINES;
+        heard > 0 && heard * MAX_SILENT_PER_HEARD >= count.silent
+            || few && self.zones.values().any(|z| z.heard_since(since) > 0)
     }
 }
 
@@ -68,6 +88,7 @@
     /// When zones last did not answer.
     blocked: BTreeMap<String, Micros>,
     lateness: Lateness,
+    own_zone: String,
     /// A machine that was not heard for so long is probed.
     probe_after: Micros,
     listing: bool,
@@ -77,8 +98,8 @@
 }
 
 impl LivenessMonitor {
-    /// Workers send a heartbeat every `report`.
-    pub fn new(report: Micros, now: Micros) -> Self {
+    /// Of a controller in a zone; workers send a heartbeat every `report`.
+    pub fn new(own_zone: &str, report: Micros, now: Micros) -> Self {
         LivenessMonitor {
             machines: BTreeMap::new(),
             incoming: BTreeMap::new(),
@@ -86,6 +107,7 @@
             observed: BTreeMap::new(),
             blocked: BTreeMap::new(),
             lateness: Lateness::new(now),
+            own_zone: own_zone.to_owned(),
             probe_after: report + Micros::secs(1),
             listing: false,
             list_from: None,
@@ -161,8 +183,9 @@
 
     /// A probe that was sent at some time was not answered.
     pub fn unanswered(&mut self, id: &MachineId, sent: Micros) {
+        let zone_answers = self.machines.get(id).is_some_and(|m| self.blocked_until(&m.zone) < sent);
         let seen = self.observed.entry(id.clone()).or_default();
-        if seen.heard.is_none_or(|t| t < sent) {
+        if zone_answers && seen.heard.is_none_or(|t| t < sent) {
             seen.silent_since.get_or_insert(sent);
             seen.unanswered_probes += 1;
         }
@@ -178,10 +201,11 @@
     /// Machines to be probed, and among them those that are silent, whose tasks have to be gone
     /// by then.
     pub fn suspects(&mut self, by: Micros, now: Micros) -> BTreeMap<MachineId, Suspect> {
-        let zones = self.count_zones(now);
-        for (zone, count) in &zones {
-            if !count.answers_since(now - self.probe_after) {
-                self.blocked.insert(zone.clone(), now);
+        let counts = self.count_zones(now);
+        let window = now - self.probe_after;
+        for (zone, count) in &counts.zones {
+            if count.silent > 0 && !counts.answers_since(zone, &self.own_zone, window) {
+                self.block(zone, now);
             }
         }
         let mut suspects = BTreeMap::new();
@@ -191,16 +215,32 @@
             if recent {
                 continue;
             }
-            let silent = seen.is_some_and(|s| self.is_silent(s, machine, &zones, now));
+            let silent = seen.is_some_and(|s| self.is_silent(s, machine, &counts, now));
             suspects.insert(id.clone(), Suspect { by, evidence: Evidence::Silence { proven: silent } });
         }
         suspects
     }
 
-    fn count_zones(&self, now: Micros) -> BTreeMap<String, ZoneCount> {
-        let mut zones: BTreeMap<String, ZoneCount> = BTreeMap::new();
+    /// A zone doesn't answer: the silence of its machines counts anew once it does.
+    fn block(&mut self, zone: &str, now: Micros) {
+        self.blocked.insert(zone.to_owned(), now);
+        for (id, _) in self.machines.iter().filter(|(_, m)| m.zone == zone) {
+            if let Some(seen) = self.observed.get_mut(id) {
+                seen.silent_since = None;
+                seen.unanswered_probes = 0;
+            }
+        }
+    }
+
+    fn blocked_until(&self, zone: &str) -> Micros {
+        self.blocked.get(zone).copied().unwrap_or_default()
+    }
+
+    fn count_zones(&self, now: Micros) -> ZoneCounts {
+        let mut counts = ZoneCounts::default();
         for (id, machine) in self.machines.iter().filter(|(_, m)| m.running) {
-            let count = zones.entry(machine.zone.clone()).or_default();
+            let count = counts.zones.entry(machine.zone.clone()).or_default();
+            count.machines += 1;
             let Some(seen) = self.observed.get(id) else { continue };
             match (seen.silent_since, seen.heard) {
                 (Some(_), _) => count.silent += 1,
@@ -208,24 +248,17 @@
                 (None, None) => {}
             }
         }
-        zones
+        counts
     }
 
-    fn is_silent(
-        &self,
-        seen: &Observed,
-        machine: &Listed,
-        zones: &BTreeMap<String, ZoneCount>,
-        now: Micros,
-    ) -> bool {
+    fn is_silent(&self, seen: &Observed, machine: &Listed, counts: &ZoneCounts, now: Micros) -> bool {
         let Some(since) = seen.silent_since else { return false };
         // One that was idle when it was last heard has nothing that could go on.
         if seen.heard.is_some() && !seen.has_tasks || seen.unanswered_probes < MIN_UNANSWERED_PROBES {
             return false;
         }
-        let blocked = self.blocked.get(&machine.zone).copied().unwrap_or_default();
-        let from = self.lateness.silent_from(since.max(blocked));
-        let zone_answers = zones.get(&machine.zone).is_some_and(|z| z.answers_since(since));
+        let from = self.lateness.silent_from(since.max(self.blocked_until(&machine.zone)));
+        let zone_answers = counts.answers_since(&machine.zone, &self.own_zone, since);
         now.since(from) >= SILENT_AFTER && zone_answers
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -203,7 +203,7 @@
             ctl: Controller::default(),
             kept: Kept::default(),
             deputy: Deputy::new(incarnation),
-            liveness: LivenessMonitor::new(Micros::from_secs_f64(d.workers.report_s), now),
+            liveness: LivenessMonitor::new(&p.domain, Micros::from_secs_f64(d.workers.report_s), now),
             books_asked: Micros(0),
             has_guest: false,
             guest: None,
