Views are late only where acknowledgements take longer than an idle leader's updates

Cause: a view without news is acknowledged with the leader's next update, up to 500 ms later; the window was 300 ms, and a leader that was idle was taken for slow.

--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -60,8 +60,9 @@
     pub running: BTreeMap<JobId, u32>,
 }
 
-/// The leader acknowledges a view within this, unless it is behind or out of reach.
-const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(300);
+/// The leader acknowledges a view with its next update, twice a second at least, unless it is
+/// behind or out of reach.
+const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(800);
 
 impl Default for Controller {
     fn default() -> Self {
