One piece each: machines held, the question for a report, the pacing between leader and controllers

Controller::held served already; status_call serves peers' questions, too; Pacer::default holds the window that stood twice under one name and lets Controller and the leader's Node derive their defaults again; the leader's contact timeout stands once; a constant of books.rs stood between two whose comments belong together.

--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -36,10 +36,10 @@
 const WHOLE_AGAIN: Micros = Micros::millis(900);
 /// Books that a hand-out waits for go out no more often than this.
 const PACE: Micros = Micros::millis(10);
-/// Who keeps up acknowledges within this.
-const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(200);
 /// The same for other changes, which may come late.
 const LAZY: Micros = Micros::millis(400);
+/// Who keeps up acknowledges within this.
+const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(200);
 /// Most witnesses.
 const MOST: usize = 3;
 
--- a/crates/core/src/controller/block.rs
+++ b/crates/core/src/controller/block.rs
@@ -45,11 +45,6 @@
         added
     }
 
-    /// How many machines this controller holds.
-    pub fn machines_held(&self) -> usize {
-        self.workers.len()
-    }
-
     /// Whether an update is news, and not one that was held up on the way, and
     /// the one that it builds on was taken.
     pub fn accept_update(&mut self, term: u64, seq: u64, base: u64) -> bool {
@@ -65,7 +60,7 @@
             self.acked = 0;
             self.base = 0;
             self.sync_sent.clear();
-            self.pacer = Pacer::new(ACKNOWLEDGED_WITHIN);
+            self.pacer = Pacer::default();
             self.lease_until = Micros(0);
             self.running.clear();
             for w in self.workers.values_mut() {
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -33,7 +33,7 @@
 }
 
 /// The part's state.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Controller {
     workers: BTreeMap<MachineId, Worker>,
     outcomes: BTreeMap<Attempt, Placed>,
@@ -60,32 +60,6 @@
     pub running: BTreeMap<JobId, u32>,
 }
 
-/// The leader acknowledges a view with its next update, twice a second at least, unless it is
-/// behind or out of reach.
-const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(800);
-
-impl Default for Controller {
-    fn default() -> Self {
-        Controller {
-            workers: BTreeMap::new(),
-            outcomes: BTreeMap::new(),
-            term: 0,
-            update_seq: 0,
-            lease_until: Micros(0),
-            sync_seq: 0,
-            pacer: Pacer::new(ACKNOWLEDGED_WITHIN),
-            sync_sent: BTreeMap::new(),
-            acked: 0,
-            base: 0,
-            dirty: false,
-            touched: BTreeSet::new(),
-            swept: Micros(0),
-            directory: BTreeMap::new(),
-            running: BTreeMap::new(),
-        }
-    }
-}
-
 /// A worker that was silent for so long is asked by its holder.
 pub const ASKED_AFTER: Micros = Micros::millis(2800);
 /// How long its answer is waited for.
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -1,5 +1,6 @@
 //! What controllers say, and where that binds tasks.
 use super::assignments::{may_hold, next_open};
+use super::blocks::CONTACT_TIMEOUT;
 use super::*;
 
 impl Leader {
@@ -14,7 +15,7 @@
             // Another process: what the last one held or was handed is in
             // nobody's mind now. Its machines need a new grant.
             let first = node.incarnation == 0;
-            *node = Node::new(incarnation, now);
+            *node = Node { incarnation, since: now, ..Node::default() };
             if !first {
                 info!("controller {} restarted", from.0);
                 let stamp = self.version + 1;
@@ -40,7 +41,7 @@
         node.seen = view.seen;
         node.pacer.acknowledged(view.seen, now);
         node.owed |= !view.machines.is_empty() || !view.outcomes.is_empty();
-        if node.heard.is_none_or(|t| now.since(t) > Micros::millis(2500)) {
+        if node.heard.is_none_or(|t| now.since(t) > CONTACT_TIMEOUT) {
             node.contact_since = now;
         }
         node.heard = Some(now);
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -8,7 +8,7 @@
 const STOPS_EVERY: Micros = Micros::millis(200);
 
 /// A controller that said nothing for so long is out of contact.
-const CONTACT_TIMEOUT: Micros = Micros::millis(2500);
+pub(super) const CONTACT_TIMEOUT: Micros = Micros::millis(2500);
 /// What waits for a leader that is behind may be its word; this long after the last one it isn't,
 /// but for `CONTACT_TIMEOUT`.
 const CONTACT_LOST_FOR_CERTAIN: Micros = Micros::secs(5);
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -82,7 +82,7 @@
 }
 
 /// Another controller, as the leader sees it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 struct Node {
     incarnation: u64,
     sync_seq: u64,
@@ -98,26 +98,6 @@
     dirty: bool,
 }
 
-/// A controller acknowledges an update with its next view, twice a second at least.
-const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(800);
-
-impl Node {
-    /// A process that was heard first at some time; 0: none was.
-    fn new(incarnation: u64, since: Micros) -> Self {
-        Node {
-            incarnation,
-            sync_seq: 0,
-            seen: 0,
-            owed: false,
-            heard: None,
-            since,
-            contact_since: Micros(0),
-            pacer: Pacer::new(ACKNOWLEDGED_WITHIN),
-            dirty: false,
-        }
-    }
-}
-
 /// A hand-out whose outcome is not known.
 #[derive(Debug)]
 struct OnItsWay {
@@ -287,7 +267,7 @@
         now: Micros,
         wall_ms: u64,
     ) -> Self {
-        let nodes = vec![Node::new(0, Micros(0)); ctx.zones.len()];
+        let nodes = vec![Node::default(); ctx.zones.len()];
         let lag = ctx.list_lag;
         let (record, stamp_of) = ledger.books.clone();
         let books = Ledgers::new(term, ctx.me, ctx.names.clone(), ctx.zones.clone(), record, stamp_of);
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -258,7 +258,7 @@
         let gauges = Gauges {
             revision: self.mirror.ledger.applied,
             ready: self.ready(),
-            machines_held: self.ctl.machines_held(),
+            machines_held: self.ctl.held(),
             leader: self.leader_node().map(|n| n.0),
             term: self.leader_term(),
         };
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -1,4 +1,5 @@
 //! Messages between controllers, and their ways round a cut.
+use super::stand_in::status_call;
 use super::*;
 
 /// News go to the leader this often, if it keeps up.
@@ -197,13 +198,7 @@
                 self.lead();
             }
             Message::Probe { id, addr } => {
-                let call = self.out.call(Call {
-                    target: Target::Worker(addr),
-                    method: "GET",
-                    path: "/status".into(),
-                    body: Vec::new(),
-                    timeout: Micros::millis(1200),
-                });
+                let call = self.out.call(status_call(addr));
                 self.calls.insert(call, Purpose::Probe(id));
             }
         }
--- a/crates/core/src/node/stand_in.rs
+++ b/crates/core/src/node/stand_in.rs
@@ -198,7 +198,8 @@
     }
 }
 
-fn status_call(address: String) -> Call {
+/// Asks a worker for its report.
+pub(super) fn status_call(address: String) -> Call {
     Call {
         target: Target::Worker(address),
         method: "GET",
--- a/crates/core/src/peer/pacing.rs
+++ b/crates/core/src/peer/pacing.rs
@@ -11,6 +11,9 @@
 /// A receiver that acknowledges nothing is sent a message this often all the same: less often,
 /// and it would take the sender for dead.
 pub const MAX_RETRY_INTERVAL: Micros = Micros::secs(2);
+/// The leader and a controller acknowledge each other's messages with the next of their own,
+/// which leaves twice a second at least.
+const ACKNOWLEDGED_WITHIN: Micros = Micros::millis(800);
 /// Numbers that are remembered while they are not acknowledged.
 const MAX_REMEMBERED: usize = 64;
 
@@ -27,6 +30,13 @@
     retry_interval: Micros,
 }
 
+impl Default for Pacer {
+    /// For messages between the leader and a controller.
+    fn default() -> Self {
+        Pacer::new(ACKNOWLEDGED_WITHIN)
+    }
+}
+
 impl Pacer {
     /// Nothing was sent.
     pub fn new(window: Micros) -> Self {
