Log why a query was refused, what its confirmation waits for, and each change of readiness

Operators reported accepted jobs without an answer for more than a minute and kept no logs; the `status` line could not tell which step a query waited for.

- node/readiness.rs: one typed reason for whether clients are served, used by /ready, the server and the status line; each change is logged.
- node/query_wait.rs: what the confirmation of a cancellation waits for (replica, whose acknowledgements, whose guarantee and term, path to the leader); a line per refused query, at most 20 in 10 s.
At debug level, under which term, revision and barrier a query was answered.
- standins/load_balancer.rs: the users' load balancer by the protocol's rules, without sockets.

--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -15,6 +15,7 @@
 //! read the record before it leads. A restarted process is notified by all other controllers. Where
 //! a controller that must acknowledge is unreachable, the client gets 503, at once or after
 //! `CONFIRMATION_TIMEOUT`, from any controller, and the notifications go on.
+use super::query_wait::ConfirmationWait;
 use super::*;
 use crate::peer::Cancellation;
 
@@ -139,7 +140,8 @@
         let reachable = self.leader_node().is_some_and(|n| n == self.members.own_id || self.has_path(n));
         let Some(tracked) = self.cancellations.jobs.get_mut(&job) else { return };
         if !tracked.record.may_confirm && !reachable {
-            return self.fail_confirmation(requester);
+            let wait = ConfirmationWait::NoPathToLeader { leader: self.leader_node() };
+            return self.fail_confirmation(requester, job, &wait);
         }
         tracked.requesters.push((requester, until));
         self.cancellations.scan_now = true;
@@ -151,9 +153,22 @@
         self.in_contact(n, PEER_TIMEOUT) || self.peers.find_relay(n, self.now).is_some()
     }
 
-    fn fail_confirmation(&mut self, requester: Requester) {
+    fn complete_confirmation(&mut self, requester: Requester, job: JobId) {
         match requester {
-            Requester::User(id) => self.refuse(id, RefusalReason::CancellationUnconfirmed),
+            Requester::User(id) => self.answer_cancelled(id, job),
+            Requester::Extension(t, result) => {
+                self.run_extension(ExtensionInput::OperationCompleted(t, result))
+            }
+        }
+    }
+
+    fn fail_confirmation(&mut self, requester: Requester, job: JobId, wait: &ConfirmationWait) {
+        match requester {
+            Requester::User(id) => {
+                let since = self.cancellations.jobs.get(&job).map_or(self.now, |tracked| tracked.since);
+                self.log_unconfirmed(job, self.now.since(since), wait);
+                self.refuse(id, RefusalReason::CancellationUnconfirmed)
+            }
             Requester::Extension(t, _) => {
                 self.run_extension(ExtensionInput::OperationCompleted(t, CallResult::Unknown))
             }
@@ -188,20 +203,33 @@
 
     /// Whether every controller that must know of a cancellation has acknowledged it.
     fn is_acknowledged(&self, tracked: &TrackedCancellation) -> bool {
+        self.confirmation_wait(tracked).is_none()
+    }
+
+    /// What the confirmation of a cancellation waits for; `None` if it may be confirmed.
+    fn confirmation_wait(&self, tracked: &TrackedCancellation) -> Option<ConfirmationWait> {
         // A leader that acquired its key before the record was written has to be notified. Only a
         // state replica that holds the record shows whether there is such a leader.
-        let applied = self.replica_sync.replica.applied_revision >= tracked.record.record_version;
-        let contacts_acknowledged =
-            self.peers.all().filter(|n| *n != self.members.own_id && self.in_contact(*n, PEER_TIMEOUT)).all(
-                |n| {
-                    let incarnation = self.peers.states[n.0 as usize].incarnation;
-                    tracked.record.acknowledged_by[n.0 as usize] >= incarnation
-                },
-            );
-        applied && contacts_acknowledged && {
-            let guaranteed = tracked.guaranteed_term.max(self.guaranteed_term(tracked).unwrap_or(0));
-            guaranteed > 0 && guaranteed >= self.leader_term()
+        let (record, applied) = (tracked.record.record_version, self.replica_sync.replica.applied_revision);
+        if applied < record {
+            return Some(ConfirmationWait::ReplicaBehind { record, applied });
+        }
+        let is_unaware = |n: &NodeId| {
+            let incarnation = self.peers.states[n.0 as usize].incarnation;
+            *n != self.members.own_id
+                && self.in_contact(*n, PEER_TIMEOUT)
+                && tracked.record.acknowledged_by[n.0 as usize] < incarnation
+        };
+        if self.peers.all().any(|n| is_unaware(&n)) {
+            return Some(ConfirmationWait::Acknowledgements(self.peers.all().filter(is_unaware).collect()));
         }
+        let term = self.leader_term();
+        let guaranteed_term = tracked.guaranteed_term.max(self.guaranteed_term(tracked).unwrap_or(0));
+        (guaranteed_term == 0 || guaranteed_term < term).then(|| ConfirmationWait::Guarantee {
+            leader: self.leader_node(),
+            term,
+            guaranteed_term,
+        })
     }
 
     /// The term of this leader, if no start of the job can follow.
@@ -249,21 +277,9 @@
             done.extend(tracked.requesters.drain(..).map(|(a, _)| (a, job)));
         }
         for (requester, job) in done {
-            match requester {
-                Requester::User(id) => self.answer_cancelled(id, job),
-                Requester::Extension(t, result) => {
-                    self.run_extension(ExtensionInput::OperationCompleted(t, result))
-                }
-            }
+            self.complete_confirmation(requester, job);
         }
-        let mut expired = Vec::new();
-        for tracked in self.cancellations.jobs.values_mut() {
-            let (overdue, remaining): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut tracked.requesters).into_iter().partition(|(_, until)| now >= *until);
-            tracked.requesters = remaining;
-            expired.extend(overdue.into_iter().map(|(a, _)| a));
-        }
-        expired.into_iter().for_each(|a| self.fail_confirmation(a));
+        self.expire_requesters();
         let leader = self.leader_node();
         let term = self.leader_term();
         for n in self.peers.all().filter(|n| *n != me) {
@@ -302,6 +318,23 @@
         }
     }
 
+    /// Refuses the requests that have waited for `CONFIRMATION_TIMEOUT`.
+    fn expire_requesters(&mut self) {
+        let now = self.now;
+        let mut expired = Vec::new();
+        for (job, tracked) in &mut self.cancellations.jobs {
+            let overdue = tracked.requesters.extract_if(.., |(_, until)| now >= *until);
+            expired.extend(overdue.map(|(requester, _)| (*job, requester)));
+        }
+        for (job, requester) in expired {
+            let tracked = self.cancellations.jobs.get(&job);
+            match tracked.and_then(|tracked| self.confirmation_wait(tracked)) {
+                Some(wait) => self.fail_confirmation(requester, job, &wait),
+                None => self.complete_confirmation(requester, job),
+            }
+        }
+    }
+
     /// Handles another controller's notification of cancellations. A late or repeated one changes
     /// nothing: a job's end never changes.
     pub(super) fn cancellations_received(&mut self, from: NodeId, batch: &[Cancellation]) {
--- a/crates/core/src/node/control_loop.rs
+++ b/crates/core/src/node/control_loop.rs
@@ -9,6 +9,7 @@
 impl Node {
     pub(super) fn tick(&mut self) {
         self.status.ticked(self.now);
+        self.log_readiness();
         self.expire_waiters();
         self.update_informed_at();
         self.update_placements_known_at();
--- a/crates/core/src/node/extension_host.rs
+++ b/crates/core/src/node/extension_host.rs
@@ -102,7 +102,12 @@
     /// Fails a request whose read barrier can't be completed.
     pub(super) fn fail_waiter(&mut self, w: &Waiter, reason: RefusalReason) {
         match w.requester() {
-            Ok(id) => self.refuse(id, reason),
+            Ok(id) => {
+                if let Waiter::Poll(_, job) = w {
+                    self.log_unproved(*job, reason);
+                }
+                self.refuse(id, reason)
+            }
             Err(t) => self.run_extension(ExtensionInput::ReadBarrierDone(t, false)),
         }
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -12,6 +12,8 @@
 mod messaging;
 mod pending_requests;
 mod placement_knowledge;
+mod query_wait;
+mod readiness;
 mod rejected_writes;
 mod relay;
 mod replica_sync;
@@ -24,6 +26,8 @@
 use leadership::Leadership;
 use membership::{PEER_TIMEOUT, Peers};
 use pending_requests::{MAX_PENDING, PendingRequests, PendingWrite, Waiter};
+use query_wait::QueryLog;
+use readiness::Readiness;
 use relay::Relay;
 use replica_sync::{ReadProgress, ReplicaSync};
 use status::{Gauges, RefusalReason, ServiceStatus};
@@ -144,6 +148,8 @@
     replica_sync: ReplicaSync,
     pending: PendingRequests,
     status: ServiceStatus,
+    query_log: QueryLog,
+    logged_readiness: Option<Readiness>,
     cancellations: Cancellations,
     leadership: Leadership,
     peers: Peers,
@@ -199,6 +205,8 @@
             replica_sync: ReplicaSync::default(),
             pending: PendingRequests::new(limits.writes_per_s * 0.9 / n, limits.requests_per_s / n, now),
             status: ServiceStatus::new(now),
+            query_log: QueryLog::default(),
+            logged_readiness: None,
             cancellations: Cancellations::default(),
             leadership: Leadership::new(&operator, limits.writes_per_s, now),
             peers: Peers::new(members.names.len()),
@@ -268,7 +276,7 @@
     pub fn status_line(&mut self) -> Option<String> {
         let gauges = Gauges {
             revision: self.replica_sync.replica.applied_revision,
-            ready: self.is_ready(),
+            ready: self.readiness().serves(),
             machines_held: self.controller.held_count(),
             leader: self.leader_node().map(|n| n.0),
             term: self.leader_term(),
@@ -288,12 +296,12 @@
 
     /// Whether clients are served here; `GET /ready` returns the same.
     pub fn serves_users(&self) -> bool {
-        self.is_ready()
+        self.readiness().serves()
     }
 
     /// Whether this node serves clients and holds a lease of machines that it may start tasks on.
     pub fn in_service(&self) -> bool {
-        self.is_ready() && self.controller.lease_valid(self.now)
+        self.readiness().serves() && self.controller.lease_valid(self.now)
     }
 
     /// For tests: compares the sums that are updated incrementally with a recount.
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -7,7 +7,7 @@
         let rest = path.strip_prefix("/submissions/");
         match (method, path, rest) {
             ("GET", "/ready", _) => {
-                if self.is_ready() {
+                if self.readiness().serves() {
                     self.out.respond(id, 200, br#"{"ready":true}"#.to_vec());
                 } else {
                     self.refuse(id, RefusalReason::NotReady);
@@ -41,21 +41,6 @@
         }
     }
 
-    pub(super) fn is_ready(&self) -> bool {
-        if !self.replica_sync.loaded {
-            return false;
-        }
-        if self.replica_sync.state_reachable(self.now) || self.members.names.len() == 1 {
-            return true;
-        }
-        // If only this controller fails to reach the state service, the other controllers serve the
-        // clients. If all fail, withdrawing would help no client.
-        let recent =
-            |p: &&membership::Peer| p.last_contact.is_some_and(|t| self.now.since(t) < Micros::millis(2500));
-        let mut in_contact = self.peers.states.iter().filter(recent).peekable();
-        in_contact.peek().is_some() && in_contact.all(|p| !p.state_ok)
-    }
-
     /// Answers for a job that has ended; ends never change. A cancellation is confirmed only when
     /// every controller that must know of it has acknowledged it. Returns false if the job is
     /// active or unknown.
@@ -64,6 +49,7 @@
         match j.phase {
             Phase::Active => return false,
             Phase::Done => {
+                self.log_answer(job, "done");
                 let body = users::job_status_body(job, "done", j.tasks, 0);
                 self.out.respond(id, 200, body);
             }
@@ -74,6 +60,7 @@
     }
 
     pub(super) fn answer_cancelled(&mut self, id: RequestId, job: JobId) {
+        self.log_answer(job, "aborted");
         let cause = self.replica_sync.replica.jobs.get(&job).and_then(|j| j.cause.as_ref());
         let body = match cause {
             Some(cause) => users::failed_job_body(job, cause),
@@ -87,6 +74,7 @@
             return;
         }
         let Some(j) = self.replica_sync.replica.jobs.get(&job) else {
+            self.log_answer(job, "unknown");
             return self.out.respond(id, 404, users::error_body("no such job"));
         };
         let running = self.controller.running_counts.get(&job).copied().unwrap_or(0);
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 
 /// How often a `status` line is due.
-const STATUS_INTERVAL: Micros = Micros::secs(10);
+pub(super) const STATUS_INTERVAL: Micros = Micros::secs(10);
 /// How often `Input::Tick` is due.
 const TICK_INTERVAL: Micros = Micros::millis(20);
 
@@ -53,7 +53,7 @@
     }
 
     /// The reason's name in the `status` line.
-    fn key(self) -> &'static str {
+    pub(super) fn key(self) -> &'static str {
         match self {
             RefusalReason::StateUnread => "state_unread",
             RefusalReason::StateRefused => "state_refused",
@@ -188,6 +188,11 @@
         self.barrier_sent_at = now;
     }
 
+    /// How long ago the last read barrier was sent.
+    pub(super) fn barrier_age(&self, now: Micros) -> Micros {
+        now.since(self.barrier_sent_at)
+    }
+
     /// Records the result of a read barrier.
     pub(super) fn read_barrier_completed(&mut self, result: &CallResult, now: Micros) {
         self.slowest_barrier = self.slowest_barrier.max(now.since(self.barrier_sent_at));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! complete site of them on loopback around real controllers.
 #![warn(missing_docs)]
 pub mod cloud;
+pub mod load_balancer;
 pub mod measure;
 pub mod net;
 pub mod process;
