Users behind the load balancer, in the seeded world and in the soak; a query's wait is checked

The operators' report (accepted jobs unanswered for more than a minute at 4,000 machines) was never brought about with users who reach controllers as they do: through a load balancer that removes a controller by its health checks and takes it back only after a pause of up to a minute.

- tests/world/balanced_users.rs: the load balancer's probes, its choice of controllers, users' time limits; random short troubles, and series of troubles that end with its longest pause; the longest time that any job goes without an answer after the last trouble.
- node/status.rs: a query that waits for more than 5 s in a process that is not late is a violation, which the worlds and the soak fail on.

--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -32,7 +32,7 @@
                     None => self.out.respond(id, 404, users::error_body("no such job")),
                     Some(j) if abort => self.await_read_barrier(Waiter::Abort(id, j), Micros::millis(3500)),
                     Some(j) => {
-                        self.status.poll_received(id, self.now);
+                        self.status.poll_received(id, j, self.now);
                         self.await_read_barrier(Waiter::Poll(id, j), Micros::millis(1500));
                     }
                 }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -4,7 +4,7 @@
 //! line shows how many were answered, why the others were not, and how long the oldest has been
 //! waiting. Counters restart with each line.
 use crate::{CallResult, Output, RequestId};
-use gorseshore_protocol::ids::Micros;
+use gorseshore_protocol::ids::{JobId, Micros};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -12,6 +12,11 @@
 pub(super) const STATUS_INTERVAL: Micros = Micros::secs(10);
 /// How often `Input::Tick` is due.
 const TICK_INTERVAL: Micros = Micros::millis(20);
+/// Ticks further apart than this show that the process is late, and so are its timeouts.
+const MAX_TICK_DELAY: Micros = Micros::millis(250);
+/// A query is answered or refused within this by a process that is not late: its wait for a read
+/// barrier, the barrier's call, and the wait for a cancellation's confirmation are bounded.
+const MAX_QUERY_WAIT: Micros = Micros::secs(5);
 
 /// Why a client gets 503 and has to retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -82,6 +87,15 @@
     unanswered: u32,
 }
 
+/// A job query that is not answered yet.
+#[derive(Debug, Clone, Copy)]
+struct OpenQuery {
+    job: JobId,
+    since: Micros,
+    /// Its wait was reported as a violation.
+    reported: bool,
+}
+
 /// Counters and gauges of one controller.
 #[derive(Debug)]
 pub(super) struct ServiceStatus {
@@ -90,7 +104,9 @@
     /// The longest delay of a tick.
     tick_late: Micros,
     /// Job queries that are not answered yet.
-    open_polls: BTreeMap<RequestId, Micros>,
+    open_polls: BTreeMap<RequestId, OpenQuery>,
+    /// The last tick that was late.
+    last_late_tick: Option<Micros>,
     polls_answered: u32,
     polls_refused: u32,
     /// The client disconnected first.
@@ -120,6 +136,7 @@
             last_tick: now,
             tick_late: Micros(0),
             open_polls: BTreeMap::new(),
+            last_late_tick: None,
             polls_answered: 0,
             polls_refused: 0,
             polls_abandoned: 0,
@@ -137,17 +154,43 @@
         let late = now.since(self.last_tick + TICK_INTERVAL);
         self.tick_late = self.tick_late.max(late);
         self.last_tick = now;
+        if late > MAX_TICK_DELAY {
+            self.last_late_tick = Some(now);
+        }
+        self.check_query_waits(now);
+    }
+
+    /// Checks that no query waits for longer than `MAX_QUERY_WAIT`, unless this process was late.
+    fn check_query_waits(&mut self, now: Micros) {
+        let late_at = self.last_late_tick;
+        let mut overdue = Vec::new();
+        // Request ids ascend with the time of arrival.
+        for query in self.open_polls.values_mut() {
+            if now.since(query.since) <= MAX_QUERY_WAIT {
+                break;
+            }
+            if late_at.is_none_or(|at| at < query.since) && !std::mem::replace(&mut query.reported, true) {
+                overdue.push(*query);
+            }
+        }
+        for query in overdue {
+            let waited_ms = millis(now.since(query.since));
+            self.report_violation(
+                "query_wait_bounded",
+                format_args!("job={} waited_ms={waited_ms}", query.job),
+            );
+        }
     }
 
     /// Records a client's query of a job.
-    pub(super) fn poll_received(&mut self, id: RequestId, now: Micros) {
-        self.open_polls.insert(id, now);
+    pub(super) fn poll_received(&mut self, id: RequestId, job: JobId, now: Micros) {
+        self.open_polls.insert(id, OpenQuery { job, since: now, reported: false });
     }
 
     /// Checks the read barrier before a query is answered from the state replica: a barrier that
     /// was sent before the query arrived shows nothing about what was recorded in between.
     pub(super) fn check_read_barrier(&mut self, id: RequestId) {
-        let Some(came) = self.open_polls.get(&id).copied() else { return };
+        let Some(came) = self.open_polls.get(&id).map(|query| query.since) else { return };
         if came > self.barrier_sent_at {
             let sent = self.barrier_sent_at.0;
             self.report_violation(
@@ -231,14 +274,24 @@
         let line = self.text(gauges, now);
         let open_polls = std::mem::take(&mut self.open_polls);
         let (last_tick, barrier_sent_at) = (self.last_tick, self.barrier_sent_at);
+        let last_late_tick = self.last_late_tick;
         let (caught_up_at, violations) = (self.caught_up_at, self.violations);
         let fresh = ServiceStatus::new(now);
-        *self = ServiceStatus { open_polls, last_tick, barrier_sent_at, caught_up_at, violations, ..fresh };
+        *self = ServiceStatus {
+            open_polls,
+            last_tick,
+            last_late_tick,
+            barrier_sent_at,
+            caught_up_at,
+            violations,
+            ..fresh
+        };
         Some(line)
     }
 
     fn text(&self, gauges: Gauges, now: Micros) -> String {
-        let oldest = self.open_polls.values().min().map_or(Micros(0), |since| now.since(*since));
+        let oldest = self.open_polls.values().map(|query| query.since).min();
+        let oldest = oldest.map_or(Micros(0), |since| now.since(since));
         let refused: Vec<String> =
             self.refused.iter().map(|(reason, n)| format!("{}:{n}", reason.key())).collect();
         let refused = if refused.is_empty() { "none".into() } else { refused.join(",") };
--- a/crates/core/src/node/status/tests.rs
+++ b/crates/core/src/node/status/tests.rs
@@ -11,7 +11,7 @@
     let ms = Micros::millis;
     let mut status = ServiceStatus::new(ms(1000));
     for id in 1..=5 {
-        status.poll_received(RequestId(id), ms(2000));
+        status.poll_received(RequestId(id), JobId(id), ms(2000));
     }
     status.refused(RefusalReason::ReadBarrierFailed);
     status.responses_sent(&[answer(1, 200), answer(2, 503), answer(3, 404), answer(9, 200)]);
@@ -57,9 +57,32 @@
     // (query arrived, read barrier sent, violations), in milliseconds
     for (came, sent, violations) in [(2000, 2000, 0), (2000, 2500, 0), (2500, 2000, 1)] {
         let mut status = ServiceStatus::new(Micros::millis(1000));
-        status.poll_received(RequestId(1), Micros::millis(came));
+        status.poll_received(RequestId(1), JobId(1), Micros::millis(came));
         status.read_barrier_sent(Micros::millis(sent));
         status.check_read_barrier(RequestId(1));
         assert_eq!(status.violations(), violations, "{came} {sent}");
     }
 }
+
+#[test]
+fn a_query_that_waits_beyond_its_bound_is_one_violation_unless_the_process_was_late() {
+    let ms = Micros::millis;
+    // (time at which no tick comes for 400 ms, answered at, violations by 9 s)
+    for (late_at, answered_at, violations) in
+        [(0, 0, 1), (0, 6900, 0), (0, 7100, 1), (3000, 0, 0), (1000, 0, 1)]
+    {
+        let mut status = ServiceStatus::new(ms(0));
+        for now in (0..9000).step_by(20) {
+            if now == 2000 {
+                status.poll_received(RequestId(1), JobId(7), ms(now));
+            }
+            if now == answered_at {
+                status.responses_sent(&[answer(1, 200)]);
+            }
+            if late_at == 0 || !(late_at..late_at + 400).contains(&now) {
+                status.ticked(ms(now));
+            }
+        }
+        assert_eq!(status.violations(), violations, "late at {late_at}, answered at {answered_at}");
+    }
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -4,7 +4,7 @@
 use gorseshore_standins::measure::Load;
 use gorseshore_standins::scale::Sizing;
 use gorseshore_standins::site::{Options, Site};
-use gorseshore_standins::soak::{self, schedule};
+use gorseshore_standins::soak;
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
@@ -60,6 +60,9 @@
     /// Socket limit of a controller; a low limit makes connections scarce.
     #[arg(long, default_value_t = 8000, value_parser = clap::value_parser!(u32).range(64..=1_000_000))]
     sockets: u32,
+    /// Add controllers that get only part of the time to the faults.
+    #[arg(long)]
+    slow_controllers: bool,
     /// Program of the controllers; by default, gorseshore in the directory of this program.
     #[arg(long, value_name = "PATH")]
     program: Option<PathBuf>,
@@ -94,13 +97,14 @@
         controllers: args.controllers as usize,
         fleet_machines: args.workers,
         sockets: args.sockets as usize,
+        slow_controllers: args.slow_controllers,
         fault_period: Duration::from_secs(args.seconds),
         quiet_period: QUIET_PERIOD,
     };
     let mut seeds_with_violations = 0;
     for seed in args.seeds.clone() {
         println!("seed {seed}:");
-        for fault in schedule::faults(seed, settings.controllers, settings.fault_period) {
+        for fault in settings.faults(seed) {
             println!("  {fault}");
         }
         let outcome = match soak::run(&settings, seed) {
--- a/crates/standins/src/soak/load.rs
+++ b/crates/standins/src/soak/load.rs
@@ -1,5 +1,6 @@
 //! Simulated users of a run. Throughout the run they submit, cancel, query and retry at all
 //! controllers, and query all of them right after each confirmed change.
+use super::balancer::BalancedControllers;
 use super::history::{JobFacts, Operation, Recorder, Request};
 use crate::net::send_request;
 use serde_json::{Value, json};
@@ -23,6 +24,8 @@
 pub struct Users {
     /// Address of each controller.
     pub controllers: Vec<SocketAddr>,
+    /// The same controllers behind the load balancer.
+    pub balanced: BalancedControllers,
     /// Records their requests.
     pub recorder: Arc<Recorder>,
     /// Start of the site's clock.
@@ -37,6 +40,15 @@
     pub next_job: AtomicU64,
 }
 
+/// How a request reaches a controller.
+#[derive(Debug, Clone, Copy)]
+enum Route {
+    /// To this controller.
+    Direct(usize),
+    /// To a controller that the load balancer chooses.
+    Balanced,
+}
+
 fn job_name(job: u64) -> String {
     format!("j-{job:06}")
 }
@@ -62,16 +74,21 @@
         self.stop.load(Ordering::Relaxed)
     }
 
-    /// Sends a request to a controller and records it; returns the status, 0 without a response.
-    fn request(&self, at: usize, job: u64, operation: Operation, text: &str) -> u16 {
+    /// Sends a request and records it; returns the status, 0 without a response.
+    fn request(&self, route: Route, job: u64, operation: Operation, text: &str) -> u16 {
         let (method, path, timeout) = match operation {
             Operation::Submit => ("POST", "/submissions".to_owned(), CHANGE_TIMEOUT),
             Operation::Poll => ("GET", format!("/submissions/{}", job_name(job)), POLL_TIMEOUT),
             Operation::Cancel => ("POST", format!("/submissions/{}/abort", job_name(job)), CHANGE_TIMEOUT),
         };
         let sent = self.now();
-        let response =
-            send_request(self.controllers[at], method, &path, "Connection: close\r\n", text, timeout);
+        let send = |at: usize| {
+            send_request(self.controllers[at], method, &path, "Connection: close\r\n", text, timeout)
+        };
+        let response = match route {
+            Route::Direct(at) => send(at),
+            Route::Balanced => self.balanced.with_connection(send),
+        };
         let answered = self.now();
         // A response that arrives after the timeout does not count.
         let response = response.filter(|_| answered - sent <= timeout.as_micros() as u64);
@@ -82,8 +99,8 @@
         status
     }
 
-    fn random_controller(&self) -> usize {
-        fastrand::usize(0..self.controllers.len())
+    fn random_controller(&self) -> Route {
+        Route::Direct(fastrand::usize(0..self.controllers.len()))
     }
 
     /// Retries a submission or cancellation every second, for up to 60 s, until it is
@@ -103,7 +120,7 @@
     /// Queries the job at every controller.
     fn query_all_controllers(&self, job: u64) {
         for at in 0..self.controllers.len() {
-            self.request(at, job, Operation::Poll, "");
+            self.request(Route::Direct(at), job, Operation::Poll, "");
         }
     }
 
@@ -179,17 +196,18 @@
     }
 
     /// Queries its share of the jobs in rounds, and in each round one job that was never
-    /// submitted.
+    /// submitted. Every second poller asks through the load balancer only.
     pub fn run_poller(&self, number: usize) {
+        let route = || if number.is_multiple_of(2) { self.random_controller() } else { Route::Balanced };
         while !self.stopped() {
             let jobs: Vec<u64> = self.recorder.update(|h| h.jobs.keys().copied().collect());
             for job in jobs.into_iter().filter(|job| *job as usize % POLLERS == number) {
                 if self.stopped() {
                     return;
                 }
-                self.request(self.random_controller(), job, Operation::Poll, "");
+                self.request(route(), job, Operation::Poll, "");
             }
-            self.request(self.random_controller(), 900_000 + number as u64, Operation::Poll, "");
+            self.request(route(), 900_000 + number as u64, Operation::Poll, "");
             std::thread::sleep(POLL_INTERVAL);
         }
     }
@@ -209,6 +227,10 @@
             let users = self.clone();
             threads.push(std::thread::spawn(move || users.submit_fleet_job()));
         }
+        for at in 0..self.controllers.len() {
+            let users = self.clone();
+            threads.push(std::thread::spawn(move || users.balanced.probe_until(at, || users.stopped())));
+        }
         threads
     }
 }
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! components. Every link runs through a fault proxy, users send requests throughout, and a
 //! checker judges only what users, workers and the cloud observed. A seed always gives the
 //! same schedule of faults.
+pub mod balancer;
 pub mod checker;
 pub mod history;
 pub mod load;
@@ -9,6 +10,7 @@
 pub mod schedule;
 
 use crate::site::{Link, Options, Router, Site, SiteError};
+use balancer::BalancedControllers;
 use checker::{Guarantees, Violation};
 use fastrand::Rng;
 use history::{History, Recorder};
@@ -32,12 +34,25 @@
     pub fleet_machines: u32,
     /// Socket limit of a controller.
     pub sockets: usize,
+    /// Adds controllers that are slow to the faults.
+    pub slow_controllers: bool,
     /// Period from the start of the run in which faults occur.
     pub fault_period: Duration,
     /// Period without faults that follows.
     pub quiet_period: Duration,
 }
 
+impl Settings {
+    /// The faults of a seed.
+    pub fn faults(&self, seed: u64) -> Vec<Fault> {
+        let mut faults = schedule::faults(seed, self.controllers, self.fault_period);
+        if self.slow_controllers {
+            faults.extend(schedule::slow_controllers(seed, self.controllers, self.fault_period));
+        }
+        faults
+    }
+}
+
 /// Time in microseconds within which cancelled tasks are stopped on a loopback site.
 const CANCEL_TIMEOUT_US: u64 = 30_000_000;
 /// CPU limit of the limited team.
@@ -49,6 +64,9 @@
 const SUBMIT_AFTER_LAST_FAULT: Duration = Duration::from_secs(5);
 /// Interval at which the fault schedule is checked.
 const FAULT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a slow controller is paused and runs, in turn.
+const SLOW_PAUSE: Duration = Duration::from_millis(700);
+const SLOW_RUN: Duration = Duration::from_millis(150);
 
 /// Why a run could not be carried out.
 #[derive(Debug, thiserror::Error)]
@@ -131,6 +149,9 @@
     restart_at: BTreeMap<usize, Instant>,
     /// When the leader is killed next.
     next_leader_kill: Option<Instant>,
+    /// When the slow controllers are paused or resumed next, and whether they are paused.
+    next_slow_change: Instant,
+    slow_paused: bool,
 }
 
 impl FaultInjector<'_> {
@@ -168,6 +189,7 @@
             FaultKind::EndAll(downtime) => (0..self.controllers).for_each(|n| self.kill(n, downtime)),
             FaultKind::Pause(n) => self.site.pause_controller(n),
             FaultKind::EndLeaders(_) => self.next_leader_kill = Some(Instant::now()),
+            FaultKind::Slow(_) => self.next_slow_change = Instant::now(),
             FaultKind::LoseCloud => {
                 self.network.set(Condition::both(Flow::Hold), |link| matches!(link, Link::Cloud(_)));
             }
@@ -190,7 +212,7 @@
                 self.network.set(healthy, |link| matches!(link, Link::State(_)));
             }
             FaultKind::End(..) | FaultKind::EndAll(_) => {}
-            FaultKind::Pause(n) => self.site.resume_controller(n),
+            FaultKind::Pause(n) | FaultKind::Slow(n) => self.site.resume_controller(n),
             FaultKind::EndLeaders(_) => self.next_leader_kill = None,
             FaultKind::LoseCloud => self.network.set(healthy, |link| matches!(link, Link::Cloud(_))),
         }
@@ -218,14 +240,39 @@
                 self.kill(leader, Duration::from_millis(200));
             }
         }
+        self.slow_down(running, now);
+    }
+
+    /// Pauses and resumes the slow controllers in turn, so that they get part of the time.
+    fn slow_down(&mut self, running: &[Fault], now: Instant) {
+        if now < self.next_slow_change {
+            return;
+        }
+        self.slow_paused = !self.slow_paused;
+        let lasts = if self.slow_paused { SLOW_PAUSE } else { SLOW_RUN };
+        self.next_slow_change = now + lasts;
+        for fault in running {
+            match fault.kind {
+                FaultKind::Slow(n) if self.slow_paused => self.site.pause_controller(n),
+                FaultKind::Slow(n) => self.site.resume_controller(n),
+                _ => {}
+            }
+        }
     }
 }
 
 /// Applies the faults; returns when the last one is over and all processes are restarted.
 fn inject_faults(site: &Site, network: &Network, faults: &[Fault], controllers: usize) {
     let began = Instant::now();
-    let mut injector =
-        FaultInjector { site, network, controllers, restart_at: BTreeMap::new(), next_leader_kill: None };
+    let mut injector = FaultInjector {
+        site,
+        network,
+        controllers,
+        restart_at: BTreeMap::new(),
+        next_leader_kill: None,
+        next_slow_change: Instant::now(),
+        slow_paused: false,
+    };
     let mut waiting = faults.to_vec();
     let mut running: Vec<Fault> = Vec::new();
     while !(waiting.is_empty() && running.is_empty() && injector.restart_at.is_empty()) {
@@ -260,7 +307,11 @@
 fn affects_links(kind: FaultKind) -> bool {
     !matches!(
         kind,
-        FaultKind::End(..) | FaultKind::EndAll(_) | FaultKind::EndLeaders(_) | FaultKind::Pause(_)
+        FaultKind::End(..)
+            | FaultKind::EndAll(_)
+            | FaultKind::EndLeaders(_)
+            | FaultKind::Pause(_)
+            | FaultKind::Slow(_)
     )
 }
 
@@ -285,6 +336,7 @@
     }
     let users = Arc::new(Users {
         controllers: site.user_addresses.clone(),
+        balanced: BalancedControllers::new(site.user_addresses.clone()),
         recorder: recorder.clone(),
         start: site.start_time(),
         fleet_machines: settings.fleet_machines,
@@ -293,7 +345,7 @@
         next_job: AtomicU64::new(2),
     });
     let threads = users.start(rng.u64(0..1 << 40));
-    let faults = schedule::faults(seed, settings.controllers, settings.fault_period);
+    let faults = settings.faults(seed);
     let mut machines = 0;
     inject_faults(&site, &network, &faults, settings.controllers);
     let faults_ended = users.now();
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -32,6 +32,8 @@
     EndAll(Duration),
     /// A controller process is paused with SIGSTOP.
     Pause(usize),
+    /// A controller process gets only part of the time.
+    Slow(usize),
     /// The current leader is killed repeatedly at this interval.
     EndLeaders(Duration),
     /// The cloud is unreachable for all controllers.
@@ -100,3 +102,16 @@
     faults.sort_by_key(|fault| fault.at);
     faults
 }
+
+/// Slow controllers of a seed, beside its other faults, by start time; all are over at `until`.
+pub fn slow_controllers(seed: u64, controllers: usize, until: Duration) -> Vec<Fault> {
+    let mut rng = fastrand::Rng::with_seed(!seed);
+    let mut faults = Vec::new();
+    let mut at = FIRST_FAULT;
+    while at + Duration::from_secs(3) < until {
+        let lasts = random_millis(&mut rng, 4000..12_000).min(until - at);
+        faults.push(Fault { at, lasts, kind: FaultKind::Slow(rng.usize(0..controllers)) });
+        at += lasts + random_millis(&mut rng, 1000..8000);
+    }
+    faults
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,7 @@
         controllers: 3,
         fleet_machines: 60,
         sockets: 110,
+        slow_controllers: false,
         fault_period: Duration::from_secs(30),
         quiet_period: Duration::from_secs(78),
     };
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! Deterministic simulation: several controllers, stand-ins for the outside systems and a network
 //! that drops, delays, duplicates and reorders messages run in memory from one seed. Faults are
 //! injected, and every invariant of the protocol is checked at each step.
+mod balanced_users;
 mod cancelled;
 mod consistency;
 mod fast_restarts;
@@ -291,6 +292,8 @@
     StateServiceRecovers,
     /// An input that arrived while its controller was paused.
     DeferredInput(usize, u64, Input),
+    /// An input that a slow controller handles now.
+    LateInput(usize, u64, Input),
     /// A controller has finished the work that kept it busy.
     Idle(usize, u64),
     RestartLeader,
@@ -298,6 +301,11 @@
     /// A user sends a request about a job: controller, action and job index.
     UserRequest(usize, consistency::UserAction, usize),
     Outage,
+    /// The load balancer probes all controllers.
+    ProbeControllers,
+    /// A probe of the load balancer, or a user's request, has waited for as long as its sender waits.
+    ProbeTimeout(RequestId),
+    UserTimeout(RequestId),
     LowerLimits,
     /// A duplicate of a request; its answer is discarded.
     Duplicate(usize, &'static str, String, Vec<u8>),
@@ -318,6 +326,8 @@
     Poll(usize),
     Abort(usize),
     UnknownJob,
+    /// The load balancer's health check.
+    Probe,
     /// A test that waits for this one answer.
     Direct,
     NomadClient(nomad::ClientRequest),
@@ -371,6 +381,7 @@
     consistency: consistency::Observations,
     pipelines: pipelines::Observations,
     load: load::Load,
+    balanced: balanced_users::Observations,
 }
 
 impl World {
@@ -417,6 +428,7 @@
             consistency: consistency::Observations::default(),
             pipelines: pipelines::Observations::new(seed),
             load: load::Load::new(size.nodes),
+            balanced: balanced_users::Observations::default(),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -486,6 +498,13 @@
             // Delivered when the pause ends; the next tick sees the time that passed.
             return self.at(paused - now, Event::DeferredInput(n, incarnation, input));
         }
+        match self.lateness_of(n) {
+            0 => self.deliver_on_time(n, input),
+            late => self.at(late, Event::LateInput(n, incarnation, input)),
+        }
+    }
+
+    fn deliver_on_time(&mut self, n: usize, input: Input) {
         if let Some(input) = self.queue_if_busy(n, input) {
             self.handle_input(n, input);
         }
@@ -593,6 +612,7 @@
     fn request(&mut self, n: usize, method: &'static str, path: String, body: Vec<u8>, requester: Requester) {
         let id = RequestId(self.next_request);
         self.next_request += 1;
+        let Some(n) = self.route_user(n, id, &requester) else { return };
         self.pending_requests.insert(id, requester);
         self.consistency.requests_began_at.insert(id, self.now);
         let d = self.delay();
@@ -962,12 +982,14 @@
     fn handle_answer(&mut self, id: RequestId, status: u16, body: Vec<u8>) {
         let Some(requester) = self.pending_requests.remove(&id) else { return };
         let began = self.consistency.requests_began_at.remove(&id).unwrap_or(self.now);
+        self.close_user_connection(id);
         let stage = |b: &[u8]| {
             serde_json::from_slice::<Value>(b).ok().and_then(|v| v["stage"].as_str().map(str::to_owned))
         };
         match requester {
             // Answers to Nomad clients arrive as `Event::ExtensionAnswered`.
             Requester::NomadClient(_) => {}
+            Requester::Probe => self.probe_ended(id, Some(status)),
             Requester::Worker(name, key) => self.handle_checkin_answer(&name, key, status, &body),
             Requester::Direct => self.consistency.direct_answer = Some((status, body)),
             Requester::UnknownJob => {
@@ -1385,6 +1407,9 @@
                 self.state.unavailable = true;
                 self.at(self.size.cancel_timeout, Event::StateServiceRecovers);
             }
+            Event::ProbeControllers => self.probe_controllers(),
+            Event::ProbeTimeout(id) => self.probe_ended(id, None),
+            Event::UserTimeout(id) => self.close_user_connection(id),
             Event::LowerLimits => self.lower_limits(),
             Event::Idle(n, incarnation) => self.idle(n, incarnation),
             Event::DeferredInput(n, incarnation, input) => {
@@ -1392,6 +1417,11 @@
                     self.deliver_input(n, input);
                 }
             }
+            Event::LateInput(n, incarnation, input) => {
+                if self.incarnations[n] == incarnation {
+                    self.deliver_on_time(n, input);
+                }
+            }
             Event::Duplicate(n, method, path, body) => {
                 let id = RequestId(self.next_request);
                 self.next_request += 1;
