Soak: pollers through the load balancer are added to the direct ones, not put in their place

Half of the direct polls, also at controllers that are not ready, were lost when every second poller went through the load balancer: the soak was weaker there than before. Four direct pollers are as they were, four more use the load balancer.

--- a/crates/standins/src/soak/load.rs
+++ b/crates/standins/src/soak/load.rs
@@ -13,7 +13,8 @@
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of a submission or cancellation.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Number of threads that poll jobs.
+/// Number of threads that poll jobs at random controllers, and of as many that poll them through the
+/// load balancer.
 const POLLERS: usize = 4;
 /// Pause of a polling thread between two rounds over its jobs.
 const POLL_INTERVAL: Duration = Duration::from_millis(1500);
@@ -196,9 +197,8 @@
     }
 
     /// Queries its share of the jobs in rounds, and in each round one job that was never
-    /// submitted. Every second poller asks through the load balancer only.
-    pub fn run_poller(&self, number: usize) {
-        let route = || if number.is_multiple_of(2) { self.random_controller() } else { Route::Balanced };
+    /// submitted.
+    fn run_poller(&self, number: usize, route: impl Fn() -> Route) {
         while !self.stopped() {
             let jobs: Vec<u64> = self.recorder.update(|h| h.jobs.keys().copied().collect());
             for job in jobs.into_iter().filter(|job| *job as usize % POLLERS == number) {
@@ -217,7 +217,9 @@
         let mut threads = Vec::new();
         for number in 0..POLLERS {
             let users = self.clone();
-            threads.push(std::thread::spawn(move || users.run_poller(number)));
+            threads.push(std::thread::spawn(move || users.run_poller(number, || users.random_controller())));
+            let users = self.clone();
+            threads.push(std::thread::spawn(move || users.run_poller(number, || Route::Balanced)));
         }
         for number in 0..2 {
             let users = self.clone();
