--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -660,13 +660,17 @@
         text += (f'[deployment.workers]\nreport_s = {s["report_s"]}\nlease_s = {s["lease_s"]}\n'
                  f'gang_wait_s = 35.0\ngang_peer_s = 5.0\ncancel_s = {s["cancel_s"]}\n'
                  f'[deployment.state]\nrps = {s["rps"]}\nwrite_rps = {s["write_rps"]}\nvalue_kb = {s["value_kb"]}\n'
-                 f'txn_ops = {s["txn_ops"]}\n[deployment.cloud]\nrps = {s["cloud_rps"]}\n'
+                 f'txn_ops = {s["txn_ops"]}\n' + self.next_limits() + f'[deployment.cloud]\nrps = {s["cloud_rps"]}\n'
                  f'list_lag_s = {s["list_lag_s"]}\n[deployment.machine_limits]\ncpu = {s["cpu"]}\n'
                  f'ram_mb = {s["ram_mb"]}\nsockets = {s["sockets"]}\n')
         c.config = os.path.join(self.directory, c.name + ".toml")
         with open(c.config, "w") as f:
             f.write(text)
 
+    def next_limits(self):
+        later = self.settings.get("next")
+        return "[deployment.state.next]\n" + "".join(f"{k} = {v}\n" for k, v in later.items()) if later else ""
+
     def peer_port(self, c, o):
         return o.cluster
 
