--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -343,8 +343,9 @@
         self.site, self.name, self.build, self.yard, self.loaners = site, name, build, yard, loaners
         self.size = next(f for f in site.flavors if f["sku"] == build)
         self.shift, self.tally, self.baton, self.tasks = 1, 0, 0, {}
-        self.lease_start, self.alive, self.deaf, self.cut = time.monotonic(), True, False, False
+        self.lease_start, self.alive, self.deaf = time.monotonic(), True, False
         self.sick = False  # fails every task that it starts
+        self.hung = False  # does nothing: no report, no answer, no step of its tasks, no connection accepted
         self.changed, self.token_change_at, self.images = asyncio.Event(), -1e9, {}
         self.answered_at = None
         self.target = random.randrange(max(1, len(site.controllers)))
@@ -359,7 +360,7 @@
             self.writers.add(writer)
             try:
                 while (message := await read_message(reader)) is not None:
-                    if self.deaf or self.cut or not self.alive:
+                    if self.deaf or self.hung or not self.alive:
                         # What is sent to the machine is lost; the connection hangs.
                         await asyncio.sleep(3600)
                     first, _, body = message
@@ -380,6 +381,24 @@
         for w in list(self.writers):
             w.close()
 
+    def hang(self, accepts=False):
+        """The machine stands still. Its kernel does so too unless it `accepts`: connections to it hang."""
+        self.log("hangs")
+        self.hung = True
+        if accepts:
+            return
+        listener = self.server.sockets[0]
+        asyncio.get_running_loop().remove_reader(listener.fileno())
+        raw = socket.socket(fileno=os.dup(listener.fileno()))
+        raw.listen(0)
+        raw.detach()
+        self.waiting = []  # fills the queue of connections to accept, so that the next one hangs
+        for _ in range(4):
+            s = socket.socket()
+            s.setblocking(False)
+            s.connect_ex(listener.getsockname())
+            self.waiting.append(s)
+
     def set_sick(self, sick):
         self.log("sick: fails every task that it starts" if sick else "no longer sick")
         self.sick = sick
@@ -467,6 +486,8 @@
 
     def step(self):
         """What has happened until now: the lease, image fetches, tasks that end."""
+        if self.hung:
+            return
         now = time.monotonic()
         if self.alive and now > self.lease_start + self.site.settings["lease_s"]:
             for key in list(self.tasks):
@@ -531,6 +552,8 @@
     async def send_report(self):
         """Sends a report; returns the pause before the next one, None for the usual interval."""
         nodes = self.site.worker_ports
+        while self.hung:
+            await asyncio.sleep(0.1)
         self.step()
         report, sent, shift = self.report(), time.monotonic(), self.shift
         if self.connection is None:
@@ -540,13 +563,10 @@
             if self.deaf:
                 await asyncio.sleep(3600)
             answer = await self.connection.receive()
-            if self.deaf or self.cut:
+            if self.deaf or self.hung:
                 await asyncio.sleep(3600)
             return answer
         try:
-            if self.cut:
-                await asyncio.sleep(4)
-                raise OSError("cut")
             status, value = await asyncio.wait_for(exchange(), 4.0)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as e:
             status, value = None, None
