--- a/review/3/test.py
+++ b/review/3/test.py
@@ -9,7 +9,7 @@
 
 
 async def case(make, trouble):
-    site = make(KOLKATA_SETTINGS, KOLKATA_FLAVORS, [KOLKATA[i % 2] for i in range(3)],
+    site = make(KOLKATA_HUNT_SETTINGS, KOLKATA_FLAVORS, [KOLKATA[i % 2] for i in range(3)],
                 [("dispatch", 0.0), ("florists", 0.0)])
     await site.start()
     for zone in KOLKATA:  # up at the start
