--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,8 @@
 cd "$(dirname "$0")" || exit 2
 exec python3 -B - <<'END'
 import ast, glob, sys
-if sys.version_info < (3, 11):
-    sys.exit("Python 3.11 is needed")
+if sys.version_info < (3, 9):
+    sys.exit("Python 3.9 is needed")
 for path in sorted(glob.glob("lib/*.py") + glob.glob("*/test.py")):
     with open(path) as f:
         ast.parse(f.read(), path)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -1,6 +1,6 @@
 """Stand-ins of the state service, the cloud, the workers and the users, after the users' pages
 (PROTOCOL-gorseshore.md), and real controller processes. Everything is on loopback."""
-import asyncio, bisect, json, os, random, shlex, signal, socket, sys, tempfile, time, shutil, tomllib
+import asyncio, bisect, json, os, random, re, shlex, shutil, signal, socket, sys, tempfile, time, traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -647,8 +647,9 @@
         self.record(f"TASK {key[0]} try {key[1]} leaves {worker.name}: {cause}")
 
     async def start(self):
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as f:
-            self.command = shlex.split(tomllib.load(f)["run"])
+        with open(os.path.join(ROOT, "deploy", "service.toml")) as f:
+            run = re.search(r'^run\s*=\s*"(.*)"\s*$', f.read(), re.M)
+        self.command = shlex.split(run.group(1))
         if not os.access(os.path.join(ROOT, self.command[0]), os.X_OK):
             raise CannotRun(f"{self.command[0]} is not built")
         taken = set()
@@ -795,7 +796,9 @@
             sites[0].record("result: the rule was broken" if broken else "result: the rule held")
             print("\n".join(broken) or "the rule held")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as e:
+        except (Exception, asyncio.CancelledError) as e:
+            if not isinstance(e, CannotRun):
+                traceback.print_exc()
             print(f"the case could not run: {e!r}")
             if sites:
                 sites[0].record(f"the case could not run: {e!r}")
@@ -804,7 +807,10 @@
             for s in sites:
                 await s.stop()
     async def run_and_exit():
-        code = await run()
+        task = asyncio.ensure_future(run())
+        for number in (signal.SIGTERM, signal.SIGINT):  # its processes end with it
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        code = await task
         sys.stdout.flush()
         os._exit(code)  # open connections need no farewell
     asyncio.run(run_and_exit())
