Processes that know nothing of cancellations renew no worker's lease

Cause: a process that had never read the state, and had no controller in contact that had, renewed leases for half of the time that cancel_s leaves beside a lease, counted from its own start. The start dates nothing: the cancellation may have been confirmed at any time before. The confirmation, s seconds before the start, the renewal at half of the spare time and a lease add up to more than cancel_s for any s above half of the spare time.

Evidence: the case's record: the worker's reports get 200 from the new processes for 10 s from their start and 421 from then on; its task ends a lease after the last 200. The other hypotheses, a late answer of the earlier processes and a session begun anew, would show in the record and don't: the session stays 1, and no answer is older than the start.

The fix: the time up to which a process knows all confirmed cancellations is a value with an owner (node/cancellation_knowledge.rs); without it nothing is renewed. A log line tells when renewals begin and cease.

long_jobs_sized and run_until_confirmed stand once for the scenarios that need them.

--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -426,33 +426,4 @@
         self.cancellations.scan_now = true;
         self.propagate_cancellations();
     }
-
-    /// Records that this process can know of new cancellations: it has read the state and reaches
-    /// the state service; or, in an outage, it is in contact with a majority of controllers, one of
-    /// which has read the state. A minority may be cut off from a state service that still serves
-    /// the other controllers; then possibly no controller outside the minority remains that could
-    /// stop the tasks which the minority keeps alive.
-    pub(super) fn update_informed_at(&mut self) {
-        let in_contact = |n: &NodeId| *n != self.members.own_id && self.in_contact(*n, PEER_TIMEOUT);
-        let in_contact: Vec<NodeId> = self.peers.all().filter(in_contact).collect();
-        let read =
-            self.replica_sync.loaded || in_contact.iter().any(|n| self.peers.states[n.0 as usize].loaded);
-        let majority = (in_contact.len() + 1) * 2 > self.members.names.len();
-        if self.replica_sync.loaded && self.replica_sync.state_reachable(self.now) || read && majority {
-            self.informed_at = Some(self.now);
-        }
-    }
-
-    /// Whether this process may renew workers' leases. Without new events, it may keep tasks alive
-    /// that were cancelled since: a worker whose lease is not renewed kills its tasks within the
-    /// lease, and so within what is left of the cancellation time. A cancellation from before this
-    /// process started may have been confirmed at any earlier time; half of the spare time is left
-    /// for that.
-    pub(super) fn may_renew_leases(&self) -> bool {
-        let spare = self.leader_config.cancel_timeout - self.leader_config.worker_lease;
-        match self.informed_at {
-            Some(t) => self.now.since(t) + Micros::secs(1) <= spare,
-            None => self.now.since(self.started_at) <= spare.scale(1, 2),
-        }
-    }
 }
--- a/crates/core/src/node/control_loop.rs
+++ b/crates/core/src/node/control_loop.rs
@@ -11,7 +11,8 @@
         self.status.ticked(self.now);
         self.log_readiness();
         self.expire_waiters();
-        self.update_informed_at();
+        self.update_cancellation_knowledge();
+        self.log_lease_renewals();
         self.update_placements_known_at();
         self.propagate_cancellations();
         self.watch_state();
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A controller node: its replica of the state service, its part in the election, its lease of
 //! machines, and the leader's work while it leads.
 mod cancellation_enforcement;
+mod cancellation_knowledge;
 mod cancellations;
 mod catalogue;
 mod control_loop;
@@ -20,6 +21,7 @@
 mod requests;
 mod status;
 
+use cancellation_knowledge::CancellationKnowledge;
 use cancellations::Cancellations;
 use catalogue::{Catalogue, delete_call, list_call, rent_call};
 use deferred_heartbeats::DeferredHeartbeats;
@@ -135,9 +137,8 @@
     leader_config: LeaderConfig,
     limits: StoreLimits,
     now: Micros,
-    /// When this process started, and when it could last learn of new cancellations.
     started_at: Micros,
-    informed_at: Option<Micros>,
+    cancellation_knowledge: CancellationKnowledge,
     /// When this node was last in contact with a controller that knows where tasks may be.
     placements_known_at: Micros,
     wall_ms: u64,
@@ -195,7 +196,7 @@
             limits,
             now,
             started_at: now,
-            informed_at: None,
+            cancellation_knowledge: CancellationKnowledge::default(),
             placements_known_at: now,
             wall_ms: 0,
             rng: fastrand::Rng::with_seed(seed),
--- a/crates/core/src/node/placement_knowledge.rs
+++ b/crates/core/src/node/placement_knowledge.rs
@@ -76,7 +76,7 @@
             .peers
             .all()
             .any(|n| self.in_contact(n, PEER_TIMEOUT) && self.peers.states[n.0 as usize].loaded);
-        let since = self.informed_at.unwrap_or(self.started_at);
+        let since = self.cancellation_knowledge.known_until().unwrap_or(self.started_at);
         let may_be_left = self.now.since(since) < self.leader_config.cancel_timeout;
         (!peer_knows && may_be_left)
             .then(|| since + self.leader_config.cancel_timeout.scale(UNKNOWN_DEADLINE_PERCENT, 100))
--- /dev/null
+++ b/tests/world/lease_renewals.rs
@@ -0,0 +1,138 @@
+//! Leases renewed by processes that do not know which jobs were cancelled: each renewal keeps a
+//! worker's tasks running for another lease, whether they were cancelled or not.
+use super::scenarios::Action::{Cancel, StateOutage};
+use super::scenarios::Controllers::Other;
+use super::scenarios::{Workload, long_jobs_sized};
+use super::*;
+
+/// Intervals that a deployment sets for its workers, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct WorkerTiming {
+    report: u64,
+    lease: u64,
+    cancel: u64,
+}
+
+/// Leases of about a third to nine tenths of the time that a cancellation may take.
+const TIMINGS: [WorkerTiming; 6] = [
+    WorkerTiming { report: 2_000, lease: 12_000, cancel: 42_000 },
+    WorkerTiming { report: 2_500, lease: 14_000, cancel: 34_000 },
+    WorkerTiming { report: 5_000, lease: 26_500, cancel: 46_500 },
+    WorkerTiming { report: 6_000, lease: 31_000, cancel: 61_000 },
+    WorkerTiming { report: 1_000, lease: 20_000, cancel: 30_000 },
+    WorkerTiming { report: 3_000, lease: 36_000, cancel: 40_000 },
+];
+
+/// Parameters of a run, in milliseconds from the first confirmation of a cancellation.
+#[derive(Debug)]
+struct FullRestart {
+    seed: u64,
+    nodes: usize,
+    workload: Workload,
+    timing: WorkerTiming,
+    outage_at: u64,
+    exit_at: u64,
+    back_at: u64,
+    /// When the machines with cancelled tasks receive messages again.
+    receive_at: u64,
+    /// When all controllers exit once more, and for how long.
+    second_exit: Option<(u64, u64)>,
+}
+
+impl FullRestart {
+    /// Draws a restart that ends while a lease that was renewed at the confirmation still runs.
+    fn from_seed(seed: u64) -> FullRestart {
+        let r = &mut fastrand::Rng::with_seed(seed);
+        let timing = TIMINGS[r.usize(0..TIMINGS.len())];
+        let back_at = r.u64(200..timing.lease * 9 / 10);
+        let downtime = if r.bool() { r.u64(100..1_000) } else { r.u64(100..6_000) };
+        let exit_at = back_at.saturating_sub(downtime);
+        FullRestart {
+            seed,
+            nodes: [3, 3, 5, 7][r.usize(0..4)],
+            workload: [Workload::Mixed, Workload::Single, Workload::Hundreds][r.usize(0..3)],
+            timing,
+            outage_at: r.u64(0..=exit_at.min(2_000)),
+            exit_at,
+            back_at,
+            receive_at: back_at.saturating_sub(500) + r.u64(0..2_000),
+            second_exit: (r.u32(0..3) == 0).then(|| (back_at + r.u64(1_000..15_000), r.u64(100..5_000))),
+        }
+    }
+
+    fn size(&self) -> Size {
+        Size {
+            nodes: self.nodes,
+            report_interval: self.timing.report * MS,
+            lease: self.timing.lease * MS,
+            cancel_timeout: self.timing.cancel * MS,
+            ..SMALL
+        }
+    }
+
+    /// Plays the restart; returns the first violation, and whether a user received a confirmation.
+    fn run(&self) -> (Option<String>, bool) {
+        let mut w = long_jobs_sized(self.seed, self.workload, self.size());
+        let leader = w.leader();
+        w.perform(leader, Cancel(Other(1)));
+        w.cancelled_machines_receive_nothing();
+        if !w.run_until_confirmed() {
+            return (w.violations.first().cloned(), false);
+        }
+        let confirmed_at = w.now;
+        let length = 2 * self.timing.cancel * MS;
+        w.run(confirmed_at + self.outage_at * MS);
+        w.perform(leader, StateOutage(length * 1000 / w.size.cancel_timeout));
+        w.run(confirmed_at + self.exit_at * MS);
+        w.all_exit((self.back_at - self.exit_at) * MS);
+        w.run(confirmed_at + self.receive_at * MS);
+        w.all_machines_receive();
+        if let Some((at, downtime)) = self.second_exit {
+            w.run(confirmed_at + at * MS);
+            w.all_exit(downtime * MS);
+        }
+        w.run(confirmed_at + length);
+        (w.violations.first().cloned(), true)
+    }
+}
+
+impl World {
+    /// Answers and direct commands to the machines that run cancelled tasks are lost, and their
+    /// reports arrive.
+    fn cancelled_machines_receive_nothing(&mut self) {
+        let cancelled = |t: &worker::Task| t.is_running() && Self::job_of(&t.name).0.is_multiple_of(2);
+        let holders = self.machines.values().filter(|m| m.tasks.iter().any(cancelled));
+        let holders: Vec<String> = holders.map(|m| m.name.clone()).collect();
+        holders.iter().for_each(|m| self.make_unreachable(m, self.size.end_at));
+    }
+
+    fn all_machines_receive(&mut self) {
+        let machines: Vec<String> = self.machines.keys().cloned().collect();
+        machines.iter().for_each(|m| self.make_unreachable(m, 0));
+    }
+
+    /// All controllers exit now and restart after `back`, in microseconds.
+    fn all_exit(&mut self, back: u64) {
+        (0..self.size.nodes).for_each(|n| self.terminate(n, back));
+    }
+}
+
+/// Guards against processes that know neither the state nor another controller's cancellations, and
+/// that renewed leases for half of the time that `cancel_s` leaves beside a lease: a cancelled task
+/// ran past `cancel_s`.
+#[test]
+fn processes_without_knowledge_renew_no_lease_of_a_cancelled_task() {
+    let mut failed = Vec::new();
+    let (mut runs, mut confirmed) = (0, 0);
+    for seed in seeds("RENEWAL_SEEDS", 0, 48) {
+        let restart = FullRestart::from_seed(seed);
+        let (violation, is_confirmed) = restart.run();
+        runs += 1;
+        confirmed += is_confirmed as u32;
+        if let Some(violation) = violation {
+            failed.push(format!("{restart:?}: {violation}"));
+        }
+    }
+    assert!(confirmed * 4 >= runs * 3, "a user received a confirmation in {confirmed} of {runs} runs only");
+    assert!(failed.is_empty(), "{} of {runs} runs failed:\n{}", failed.len(), failed.join("\n"));
+}
--- a/tests/world/lost_knowledge.rs
+++ b/tests/world/lost_knowledge.rs
@@ -25,13 +25,8 @@
     let mut w = long_jobs(seed, nodes, Workload::Mixed);
     let leader = w.leader();
     w.perform(leader, CancelAndHang(Other(1), NEVER));
-    let mut at = w.now;
-    let give_up = at + 10 * S;
-    while !w.jobs.iter().any(|j| j.aborted_at.is_some()) {
-        at += 5 * MS;
-        assert!(at < give_up, "no user received a confirmation");
-        w.run(at);
-    }
+    assert!(w.run_until_confirmed(), "no user received a confirmation");
+    let at = w.now;
     (w, at)
 }
 
--- a/tests/world/lost_knowledge_wide.rs
+++ b/tests/world/lost_knowledge_wide.rs
@@ -104,7 +104,7 @@
         let mut w = long_jobs_reporting(self.seed, self.nodes, self.work, self.report * MS);
         let leader = w.leader();
         self.cancel_and_hang(&mut w, leader);
-        if !run_until_confirmed(&mut w) {
+        if !w.run_until_confirmed() {
             return Outcome::NotApplicable("no user received a confirmation");
         }
         let end = w.now + self.end * MS;
@@ -150,17 +150,6 @@
     format!("{hung} of {} hang in {zone}", here.count())
 }
 
-/// Runs until the first user receives a confirmation of a cancellation; returns whether one did.
-fn run_until_confirmed(w: &mut World) -> bool {
-    let mut at = w.now;
-    let give_up = at + 10 * S;
-    while at < give_up && w.jobs.iter().all(|j| j.aborted_at.is_none()) {
-        at += 5 * MS;
-        w.run(at);
-    }
-    w.jobs.iter().any(|j| j.aborted_at.is_some())
-}
-
 /// Runs all seeds, on several threads at a time.
 fn run_all(seeds: std::ops::Range<u64>, threads: u64) -> Vec<(Run, Outcome)> {
     let next = AtomicU64::new(seeds.start);
--- a/tests/world/scenarios.rs
+++ b/tests/world/scenarios.rs
@@ -117,17 +117,14 @@
 
 /// The same with this interval between workers' reports, in microseconds.
 pub fn long_jobs_reporting(seed: u64, nodes: usize, workload: Workload, report_interval: u64) -> World {
+    long_jobs_sized(seed, workload, Size { nodes, report_interval, ..SMALL })
+}
+
+/// The same with the controllers, the intervals and the limits of this size.
+pub fn long_jobs_sized(seed: u64, workload: Workload, size: Size) -> World {
     start_logger();
-    let size = Size {
-        nodes,
-        capacity: [20, 20],
-        jobs: 0,
-        busy_until: 0,
-        end_at: 600 * S,
-        partial_failures: true,
-        ..SMALL
-    };
-    let size = Size { report_interval, ..size };
+    let size =
+        Size { capacity: [20, 20], jobs: 0, busy_until: 0, end_at: 600 * S, partial_failures: true, ..size };
     let size = if workload == Workload::Mixed { Size { capacity: [20, 10], ..size } } else { size };
     let mut w = World::new(seed, true, size);
     for j in 0..workload.size().0 {
@@ -431,6 +428,18 @@
         self.machines.values().flat_map(|m| &m.tasks).filter(|t| t.is_running()).count()
     }
 
+    /// Runs until the first user receives a confirmation of a cancellation; returns whether one did
+    /// within 10 s.
+    pub fn run_until_confirmed(&mut self) -> bool {
+        let mut at = self.now;
+        let give_up = at + 10 * S;
+        while at < give_up && self.reported_cancellations() == 0 {
+            at += 5 * MS;
+            self.run(at);
+        }
+        self.reported_cancellations() > 0
+    }
+
     /// Number of jobs that were reported cancelled to their users.
     fn reported_cancellations(&self) -> usize {
         self.jobs.iter().filter(|j| j.aborted_at.is_some()).count()
