A read barrier for renewals is sent only where knowledge of cancellations is old

Where most controllers are in contact, knowledge doesn't come from barriers, so those were for nothing.

Now a barrier is sent where knowledge is older than 0.9 s.

--- a/crates/core/src/node/cancellation_knowledge.rs
+++ b/crates/core/src/node/cancellation_knowledge.rs
@@ -12,6 +12,8 @@
 
 /// Covers the drift of the clocks and the time that a renewal takes to its worker.
 const RENEWAL_MARGIN: Micros = Micros::secs(1);
+/// Knowledge that is older than this is renewed by a read of the state service.
+const MAX_KNOWLEDGE_AGE: Micros = Micros::millis(900);
 
 /// The time up to which this process knows all confirmed cancellations.
 #[derive(Debug, Default)]
@@ -32,6 +34,11 @@
         self.known_until
     }
 
+    /// Whether a read of the state service is due to learn of later cancellations.
+    pub fn is_outdated(&self, now: Micros) -> bool {
+        self.known_until.is_none_or(|t| now.since(t) > MAX_KNOWLEDGE_AGE)
+    }
+
     /// Whether a lease that is renewed at `now` ends within the cancellation time of every
     /// cancellation that is not known here.
     fn allows_renewal(&self, now: Micros, lease: Micros, cancel_timeout: Micros) -> bool {
--- a/crates/core/src/node/control_loop.rs
+++ b/crates/core/src/node/control_loop.rs
@@ -16,7 +16,10 @@
         self.update_placements_known_at();
         self.propagate_cancellations();
         self.watch_state();
-        if !self.pending.waiters.is_empty() || self.replica_sync.proof_due(self.now) {
+        if !self.pending.waiters.is_empty()
+            || self.replica_sync.read_due(self.now)
+            || self.cancellation_knowledge.is_outdated(self.now)
+        {
             self.start_read_barrier();
         }
         self.send_pending_writes();
--- a/crates/core/src/node/replica_sync.rs
+++ b/crates/core/src/node/replica_sync.rs
@@ -2,8 +2,8 @@
 use crate::jobs::StateReplica;
 use gorseshore_protocol::ids::Micros;
 
-/// A read barrier is sent when none has succeeded for this time.
-const MAX_PROOF_AGE: Micros = Micros::millis(900);
+/// A read barrier is sent when the state service has answered nothing for this time.
+const MAX_ANSWER_AGE: Micros = Micros::millis(900);
 
 /// Progress of reading all keys, page by page.
 #[derive(Debug, Clone, Copy, Default)]
@@ -42,9 +42,9 @@
 }
 
 impl ReplicaSync {
-    /// Whether a read barrier is due although no client waits for one.
-    pub fn proof_due(&self, now: Micros) -> bool {
-        !self.loaded || self.proven_at.is_none_or(|t| now.since(t) > MAX_PROOF_AGE)
+    /// Whether a read barrier is due to tell whether the state service is reachable.
+    pub fn read_due(&self, now: Micros) -> bool {
+        !self.loaded || self.last_success.is_none_or(|t| now.since(t) > MAX_ANSWER_AGE)
     }
 
     /// Whether the state service answered within the last 2500 ms.
