A restarted controller is told of cancellations before it renews by its peers' knowledge

Seen by callers: a user is told "aborted", and a task of the job outlives cancel_s by seconds, where a controller that was down at the cancellation is back in an outage and the others end as it begins to hear them.

Cause: contact with a controller that had read the state counted as knowledge of all that this one knew, from its first ping on. The cancellations themselves came with a later message, if at all: a controller that knows of one by the state service alone never sent it.

The fix: a process that can't read the state asks each controller that has read it for all cancellations that it knows (CancellationsRequest). Until the answer it doesn't count as informed by that one. The answer covers what was confirmed until the request was sent, less the age of the other's own knowledge, and names the process that asked, so that one to an earlier process is dropped. What it holds is tracked by the sender until it is acknowledged. The two messages go only to versions that list themselves in their pings, which production takes for nothing (wire_compatibility has their bytes); beside processes of production alone, a new one that can't read the state renews nothing.

--- a/crates/core/src/node/cancellation_knowledge.rs
+++ b/crates/core/src/node/cancellation_knowledge.rs
@@ -9,6 +9,7 @@
 //! cancellation may have been confirmed at any time before, and a lease that still runs may have
 //! been renewed by another process that did not know of it either.
 use super::*;
+use crate::peer::{Cancellation, RequestStamp};
 
 /// Covers the drift of the clocks and the time that a renewal takes to its worker.
 const RENEWAL_MARGIN: Micros = Micros::secs(1);
@@ -50,14 +51,15 @@
 impl Node {
     /// Records that this process can know of new cancellations: a read of the state service proves
     /// which were recorded before it was sent; or, in an outage, this process is in contact with a
-    /// majority of controllers, one of which has read the state. A minority may be cut off from a state service that still serves
+    /// majority of controllers, one of which has read the state and has told this process of all
+    /// cancellations, unless this process has read the state itself. A minority may be cut off from a state service that still serves
     /// the other controllers; then possibly no controller outside the minority remains that could
     /// stop the tasks which the minority keeps alive.
     pub(super) fn update_cancellation_knowledge(&mut self) {
         let in_contact = |n: &NodeId| *n != self.members.own_id && self.in_contact(*n, PEER_TIMEOUT);
         let in_contact: Vec<NodeId> = self.peers.all().filter(in_contact).collect();
-        let read =
-            self.replica_sync.loaded || in_contact.iter().any(|n| self.peers.states[n.0 as usize].loaded);
+        let read = self.replica_sync.loaded
+            || in_contact.iter().any(|n| self.peers.states[n.0 as usize].has_informed());
         let majority = (in_contact.len() + 1) * 2 > self.members.names.len();
         if let Some(proven_at) = self.replica_sync.proven_at {
             self.cancellation_knowledge.advance(proven_at);
@@ -67,6 +69,48 @@
         }
     }
 
+    /// Requests the cancellations that another controller knows, if that one has read the state, this
+    /// process can't, and the other has not answered yet. Called at each of its pings.
+    pub(super) fn request_cancellations(&mut self, from: NodeId) {
+        let Some(peer) = self.peers.states.get(from.0 as usize) else { return };
+        let understands = peer.contacts.contains(&from);
+        let can_read = self.replica_sync.loaded || self.replica_sync.state_reachable(self.now);
+        if !can_read && peer.loaded && !peer.told_cancellations && understands {
+            let request = RequestStamp { incarnation: self.incarnation, sent: self.now };
+            self.out.send(from, Message::CancellationsRequest(request));
+        }
+    }
+
+    /// Answers another controller's request. What is sent is tracked until it is acknowledged.
+    pub(super) fn send_cancellations_snapshot(&mut self, to: NodeId, request: RequestStamp) {
+        let Some(known_until) = self.cancellation_knowledge.known_until else { return };
+        if !self.replica_sync.loaded {
+            return;
+        }
+        let cancellations = self.unsettled_cancellations();
+        let known_until_age = self.now.since(known_until);
+        self.out.send(to, Message::CancellationsSnapshot { request, known_until_age, cancellations });
+    }
+
+    /// Handles the answer. It says nothing of what was confirmed after the request was sent.
+    pub(super) fn cancellations_snapshot_received(
+        &mut self,
+        from: NodeId,
+        request: RequestStamp,
+        known_until_age: Micros,
+        cancellations: &[Cancellation],
+    ) {
+        if request.incarnation != self.incarnation {
+            return;
+        }
+        self.cancellations_received(from, cancellations);
+        self.cancellation_knowledge.advance(request.sent - known_until_age);
+        if let Some(peer) = self.peers.states.get_mut(from.0 as usize) {
+            // An older answer leaves a gap, in which others may have confirmed cancellations.
+            peer.told_cancellations |= known_until_age < PEER_TIMEOUT;
+        }
+    }
+
     /// Whether this process may renew workers' leases.
     pub(super) fn may_renew_leases(&self) -> bool {
         let LeaderConfig { worker_lease, cancel_timeout, .. } = self.leader_config;
--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -191,6 +191,16 @@
         self.cancellations.merge(&record, self.members.names.len(), self.now);
     }
 
+    /// All cancellations whose tasks may not be gone, in the state replica or by notification. From
+    /// now on they are tracked.
+    pub(super) fn unsettled_cancellations(&mut self) -> Vec<Cancellation> {
+        let jobs = &self.replica_sync.replica.jobs;
+        let unsettled = jobs.iter().filter(|(_, j)| j.phase == Phase::Cancelled && !j.fully_stopped);
+        let unsettled: Vec<JobId> = unsettled.map(|(id, _)| *id).collect();
+        unsettled.into_iter().for_each(|id| self.track_cancellation(id));
+        self.cancellations.jobs.values().map(|tracked| tracked.record.clone()).collect()
+    }
+
     /// Whether a cancellation may be confirmed to a client.
     pub(super) fn is_confirmed(&self, job: JobId) -> bool {
         // Nothing of the job is on any machine, so no controller needs to know.
--- a/crates/core/src/node/control_loop.rs
+++ b/crates/core/src/node/control_loop.rs
@@ -37,7 +37,7 @@
             let state_ok = self.replica_sync.state_reachable(self.now);
             let contacts: Vec<NodeId> = (0..self.peers.states.len())
                 .map(|i| NodeId(i as u8))
-                .filter(|n| self.in_contact(*n, PEER_TIMEOUT))
+                .filter(|n| *n == self.members.own_id || self.in_contact(*n, PEER_TIMEOUT))
                 .collect();
             let queued = self.pending.writes.len() as u32;
             let others = self.peers.queued(self.now);
--- a/crates/core/src/node/messaging.rs
+++ b/crates/core/src/node/messaging.rs
@@ -109,6 +109,11 @@
                     p.contacts = receives_from;
                     p.queued = queued_writes;
                 }
+                self.request_cancellations(from);
+            }
+            Message::CancellationsRequest(request) => self.send_cancellations_snapshot(from, request),
+            Message::CancellationsSnapshot { request, known_until_age, cancellations } => {
+                self.cancellations_snapshot_received(from, request, known_until_age, &cancellations);
             }
             Message::Cancellations(all) => self.cancellations_received(from, &all),
             Message::CancellationsAck { jobs, leading_term } => {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -267,7 +267,10 @@
             Input::Peer { from, incarnation, message } => {
                 if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
                     p.last_contact = Some(self.now);
-                    p.incarnation = p.incarnation.max(incarnation);
+                    if incarnation > p.incarnation {
+                        p.incarnation = incarnation;
+                        p.told_cancellations = false;
+                    }
                 }
                 self.receive_message(from, incarnation, message);
             }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -155,6 +155,15 @@
     pub acknowledged_by: Vec<u64>,
 }
 
+/// Identifies a request by the process that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct RequestStamp {
+    /// Incarnation of the process that sent the request.
+    pub incarnation: u64,
+    /// When it was sent, on the monotonic clock of that process.
+    pub sent: Micros,
+}
+
 /// A message.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Message {
@@ -162,7 +171,8 @@
     Ping {
         /// The sender reaches the state service.
         state_reachable: bool,
-        /// Controllers from which the sender receives messages directly.
+        /// Controllers from which the sender receives messages directly. A version that understands
+        /// `CancellationsRequest` lists itself as well.
         receives_from: Vec<NodeId>,
         /// Users' changes that wait in the sender's write budget.
         queued_writes: u32,
@@ -275,6 +285,18 @@
     },
     /// To the new leader: the complete placement log of that term.
     PlacementLogSnapshot(LogUpdate),
+    /// From a process that has not read the state: requests all cancellations that the receiver
+    /// knows. Sent only to a controller whose version understands it.
+    CancellationsRequest(RequestStamp),
+    /// The answer: all cancellations that the sender knows and whose tasks may not be gone.
+    CancellationsSnapshot {
+        /// The request.
+        request: RequestStamp,
+        /// The sender knows every cancellation that was confirmed until this long ago.
+        known_until_age: Micros,
+        /// Cancellations.
+        cancellations: Vec<Cancellation>,
+    },
 }
 
 /// A frame's content.
--- a/crates/core/tests/wire_compatibility.rs
+++ b/crates/core/tests/wire_compatibility.rs
@@ -9,8 +9,8 @@
 use data_encoding::HEXLOWER;
 use gorseshore_core::peer::{
     Assignment, AssignmentOutcome, Cancellation, Envelope, FRAME_HEADER_LEN, FrameError, GrantedMachine,
-    MAX_FRAME_BYTES, MachineState, Message, PROTOCOL_VERSION, StopRequest, TaskState, TaskStatus,
-    UnleasedReport, decode_body, decode_header, encode_frame,
+    MAX_FRAME_BYTES, MachineState, Message, PROTOCOL_VERSION, RequestStamp, StopRequest, TaskState,
+    TaskStatus, UnleasedReport, decode_body, decode_header, encode_frame,
 };
 use gorseshore_core::placement_log::{LogUpdate, PlacementEntry};
 use gorseshore_protocol::ids::{Attempt, FencingToken, JobId, MachineId, Micros, NodeId, TaskId};
@@ -113,6 +113,13 @@
          303030303033009c0100000000000002000000010200007000000000000000000001010b000000686f73742d3030\
          30303033010400000065617374070064a7b3b6e00d0300000000010000000b000000686f73742d303030303039",
     ),
+    ("cancellations request", "1a000000050308070605040302010c090000000000000060e3160000000000"),
+    (
+        "cancellations snapshot",
+        "5c000000050308070605040302010d090000000000000060e316000000000020a1070000000000010000009c01\
+         0000000000007b2e5bda9a0100001e140000000000000000030000000000000000000000080706050403020109\
+         00000000000000",
+    ),
 ];
 
 fn task(job: u64, index: u32) -> TaskId {
@@ -315,9 +322,23 @@
         ("placement log ack", Message::PlacementLogAck { term: 7, seq: 1000 }),
         ("placement log request", Message::PlacementLogRequest { term: 6 }),
         ("placement log snapshot", Message::PlacementLogSnapshot(log_update(0))),
+        // Not in production; sent only to processes that list themselves in their pings.
+        ("cancellations request", Message::CancellationsRequest(request_stamp())),
+        (
+            "cancellations snapshot",
+            Message::CancellationsSnapshot {
+                request: request_stamp(),
+                known_until_age: Micros::millis(500),
+                cancellations: vec![cancellation(None, false, vec![0, INCARNATION, 9])],
+            },
+        ),
     ]
 }
 
+fn request_stamp() -> RequestStamp {
+    RequestStamp { incarnation: 9, sent: Micros::millis(1500) }
+}
+
 fn envelope(message: Message) -> Envelope {
     Envelope { from: SENDER, incarnation: INCARNATION, message }
 }
@@ -352,9 +373,11 @@
         Message::PlacementLogAck { .. } => 9,
         Message::PlacementLogRequest { .. } => 10,
         Message::PlacementLogSnapshot(_) => 11,
+        Message::CancellationsRequest(_) => 12,
+        Message::CancellationsSnapshot { .. } => 13,
     }
 }
-const MESSAGE_TYPES: usize = 12;
+const MESSAGE_TYPES: usize = 14;
 
 #[test]
 fn the_table_has_all_message_types() {
--- a/tests/world/lease_renewals.rs
+++ b/tests/world/lease_renewals.rs
@@ -204,3 +204,88 @@
     println!("a user received a confirmation in {confirmed} of {runs} runs");
     assert!(failed.is_empty(), "{} of {runs} runs failed:\n{}", failed.len(), failed.join("\n"));
 }
+
+/// Parameters of a run in which a controller restarts in an outage and hears of the other controllers
+/// just before they exit, in milliseconds from the first confirmation of a cancellation.
+#[derive(Debug)]
+struct LateController {
+    seed: u64,
+    nodes: usize,
+    timing: WorkerTiming,
+    back_at: u64,
+    others_exit_at: u64,
+    receive_at: u64,
+}
+
+impl LateController {
+    fn from_seed(seed: u64) -> LateController {
+        let r = &mut fastrand::Rng::with_seed(seed);
+        let timing = TIMINGS[r.usize(0..TIMINGS.len())];
+        let back_at = r.u64(2_000..timing.lease * 9 / 10);
+        LateController {
+            seed,
+            nodes: [3, 7][r.usize(0..2)],
+            timing,
+            back_at,
+            others_exit_at: back_at + r.u64(0..250),
+            receive_at: back_at.saturating_sub(200) + r.u64(0..1_500),
+        }
+    }
+
+    /// Plays it; returns the first violation, and whether a user received a confirmation.
+    fn run(&self) -> (Option<String>, bool) {
+        let mut w = long_jobs_sized(self.seed, Workload::Mixed, self.timing.size(self.nodes));
+        let leader = w.leader();
+        let late = (leader + 1) % self.nodes;
+        let from = w.now;
+        w.terminate(late, w.size.end_at * 10);
+        // Until the others count it as out of contact.
+        w.run(from + 3 * S);
+        w.perform(leader, Cancel(Other(2)));
+        w.cancelled_machines_receive_nothing();
+        if !w.run_until_confirmed() {
+            return (w.violations.first().cloned(), false);
+        }
+        let confirmed_at = w.now;
+        w.run(confirmed_at + S);
+        w.perform(leader, StateOutage(NEVER));
+        w.at((self.back_at - 1_000) * MS, Event::Restart(late));
+        let exit_others = |w: &mut World| {
+            w.run(confirmed_at + self.others_exit_at * MS);
+            let others = (0..self.nodes).filter(|n| *n != late);
+            others.for_each(|n| w.terminate(n, w.size.end_at * 10));
+        };
+        let receive = |w: &mut World| {
+            w.run(confirmed_at + self.receive_at * MS);
+            w.all_machines_receive();
+        };
+        if self.receive_at < self.others_exit_at {
+            receive(&mut w);
+            exit_others(&mut w);
+        } else {
+            exit_others(&mut w);
+            receive(&mut w);
+        }
+        w.run(confirmed_at + 2 * self.timing.cancel * MS);
+        (w.violations.first().cloned(), true)
+    }
+}
+
+/// Guards against a restarted controller that renewed leases as soon as it heard another controller,
+/// before that one had told it which jobs are cancelled.
+#[test]
+fn a_restarted_controller_renews_no_lease_before_it_was_told_of_cancellations() {
+    let mut failed = Vec::new();
+    let (mut runs, mut confirmed) = (0, 0);
+    for seed in seeds("RENEWAL_SEEDS", 0, 80) {
+        let late = LateController::from_seed(seed);
+        let (violation, is_confirmed) = late.run();
+        runs += 1;
+        confirmed += is_confirmed as u32;
+        if let Some(violation) = violation {
+            failed.push(format!("{late:?}: {violation}"));
+        }
+    }
+    println!("a user received a confirmation in {confirmed} of {runs} runs");
+    assert!(failed.is_empty(), "{} of {runs} runs failed:\n{}", failed.len(), failed.join("\n"));
+}
