--- a/tests/world/lease_renewals.rs
+++ b/tests/world/lease_renewals.rs
@@ -35,6 +35,40 @@
     WorkerTiming { report: 3_000, lease: 36_000, cancel: 40_000 },
 ];
 
+/// Result of a play.
+struct Outcome {
+    violation: Option<String>,
+    /// A user received a confirmation of a cancellation; otherwise the play tests nothing.
+    confirmed: bool,
+}
+
+impl Outcome {
+    fn new(w: &World, confirmed: bool) -> Outcome {
+        Outcome { violation: w.violations.first().cloned(), confirmed }
+    }
+}
+
+/// Plays the first `count` seeds, or those of `RENEWAL_SEEDS`; none may break a rule, and a user must
+/// receive a confirmation in three quarters of them.
+fn check_plays<P: std::fmt::Debug>(count: u64, from_seed: fn(u64) -> P, play: fn(&P) -> Outcome) {
+    let (mut plays, mut confirmed, mut failed) = (0, 0, Vec::new());
+    for seed in seeds("RENEWAL_SEEDS", 0, count) {
+        let parameters = from_seed(seed);
+        let outcome = play(&parameters);
+        plays += 1;
+        confirmed += outcome.confirmed as u32;
+        if let Some(violation) = outcome.violation {
+            failed.push(format!("{parameters:?}: {violation}"));
+        }
+    }
+    println!("a user received a confirmation in {confirmed} of {plays} plays");
+    assert!(
+        confirmed * 4 >= plays * 3,
+        "a user received a confirmation in {confirmed} of {plays} plays only"
+    );
+    assert!(failed.is_empty(), "{} of {plays} plays failed:\n{}", failed.len(), failed.join("\n"));
+}
+
 /// Parameters of a run, in milliseconds from the first confirmation of a cancellation.
 #[derive(Debug)]
 struct FullRestart {
@@ -72,14 +106,13 @@
         }
     }
 
-    /// Plays the restart; returns the first violation, and whether a user received a confirmation.
-    fn run(&self) -> (Option<String>, bool) {
+    fn run(&self) -> Outcome {
         let mut w = long_jobs_sized(self.seed, self.workload, self.timing.size(self.nodes));
         let leader = w.leader();
         w.perform(leader, Cancel(Other(1)));
         w.cancelled_machines_receive_nothing();
         if !w.run_until_confirmed() {
-            return (w.violations.first().cloned(), false);
+            return Outcome::new(&w, false);
         }
         let confirmed_at = w.now;
         let length = 2 * self.timing.cancel * MS;
@@ -94,7 +127,7 @@
             w.all_exit(downtime * MS);
         }
         w.run(confirmed_at + length);
-        (w.violations.first().cloned(), true)
+        Outcome::new(&w, true)
     }
 }
 
@@ -124,19 +157,7 @@
 /// ran past `cancel_s`.
 #[test]
 fn processes_without_knowledge_renew_no_lease_of_a_cancelled_task() {
-    let mut failed = Vec::new();
-    let (mut runs, mut confirmed) = (0, 0);
-    for seed in seeds("RENEWAL_SEEDS", 0, 48) {
-        let restart = FullRestart::from_seed(seed);
-        let (violation, is_confirmed) = restart.run();
-        runs += 1;
-        confirmed += is_confirmed as u32;
-        if let Some(violation) = violation {
-            failed.push(format!("{restart:?}: {violation}"));
-        }
-    }
-    assert!(confirmed * 4 >= runs * 3, "a user received a confirmation in {confirmed} of {runs} runs only");
-    assert!(failed.is_empty(), "{} of {runs} runs failed:\n{}", failed.len(), failed.join("\n"));
+    check_plays(48, FullRestart::from_seed, FullRestart::run);
 }
 
 /// Parameters of a run in which a partitioned zone loses the state service just before others confirm
@@ -167,8 +188,7 @@
         }
     }
 
-    /// Plays it; returns the first violation, and whether a user received a confirmation.
-    fn run(&self) -> (Option<String>, bool) {
+    fn run(&self) -> Outcome {
         let mut w = long_jobs_sized(self.seed, Workload::Mixed, self.timing.size(self.nodes));
         let (from, leader) = (w.now, w.leader());
         w.perform(leader, ZonesPartitioned(NEVER));
@@ -177,12 +197,12 @@
         w.run(w.now + self.cancel_after * MS);
         w.perform(leader, Cancel(East));
         if !w.run_until_confirmed() {
-            return (w.violations.first().cloned(), false);
+            return Outcome::new(&w, false);
         }
         w.run(w.now + self.exit_after * MS);
         w.perform(leader, Terminate(East, NEVER));
         w.run(w.now + 2 * w.size.cancel_timeout);
-        (w.violations.first().cloned(), true)
+        Outcome::new(&w, true)
     }
 }
 
@@ -190,19 +210,7 @@
 /// for 2.5 s after it: a zone without the state service renewed leases for so much longer.
 #[test]
 fn leases_are_renewed_by_the_age_of_the_last_proven_read() {
-    let mut failed = Vec::new();
-    let (mut runs, mut confirmed) = (0, 0);
-    for seed in seeds("RENEWAL_SEEDS", 0, 48) {
-        let refused = RefusedZone::from_seed(seed);
-        let (violation, is_confirmed) = refused.run();
-        runs += 1;
-        confirmed += is_confirmed as u32;
-        if let Some(violation) = violation {
-            failed.push(format!("{refused:?}: {violation}"));
-        }
-    }
-    println!("a user received a confirmation in {confirmed} of {runs} runs");
-    assert!(failed.is_empty(), "{} of {runs} runs failed:\n{}", failed.len(), failed.join("\n"));
+    check_plays(48, RefusedZone::from_seed, RefusedZone::run);
 }
 
 /// Parameters of a run in which a controller restarts in an outage and hears of the other controllers
@@ -232,8 +240,7 @@
         }
     }
 
-    /// Plays it; returns the first violation, and whether a user received a confirmation.
-    fn run(&self) -> (Option<String>, bool) {
+    fn run(&self) -> Outcome {
         let mut w = long_jobs_sized(self.seed, Workload::Mixed, self.timing.size(self.nodes));
         let leader = w.leader();
         let late = (leader + 1) % self.nodes;
@@ -244,7 +251,7 @@
         w.perform(leader, Cancel(Other(2)));
         w.cancelled_machines_receive_nothing();
         if !w.run_until_confirmed() {
-            return (w.violations.first().cloned(), false);
+            return Outcome::new(&w, false);
         }
         let confirmed_at = w.now;
         w.run(confirmed_at + S);
@@ -267,7 +274,7 @@
             receive(&mut w);
         }
         w.run(confirmed_at + 2 * self.timing.cancel * MS);
-        (w.violations.first().cloned(), true)
+        Outcome::new(&w, true)
     }
 }
 
@@ -275,17 +282,5 @@
 /// before that one had told it which jobs are cancelled.
 #[test]
 fn a_restarted_controller_renews_no_lease_before_it_was_told_of_cancellations() {
-    let mut failed = Vec::new();
-    let (mut runs, mut confirmed) = (0, 0);
-    for seed in seeds("RENEWAL_SEEDS", 0, 80) {
-        let late = LateController::from_seed(seed);
-        let (violation, is_confirmed) = late.run();
-        runs += 1;
-        confirmed += is_confirmed as u32;
-        if let Some(violation) = violation {
-            failed.push(format!("{late:?}: {violation}"));
-        }
-    }
-    println!("a user received a confirmation in {confirmed} of {runs} runs");
-    assert!(failed.is_empty(), "{} of {runs} runs failed:\n{}", failed.len(), failed.join("\n"));
+    check_plays(80, LateController::from_seed, LateController::run);
 }
