One place says which cancelled jobs may still have tasks; the test of renewals loses a twin

Found on reading the change as a whole; behaviour and assertions are as they were.

- lease_renewals chose the machines that run cancelled tasks with its own copy of what CancelAndHang does: World::runs_cancelled_task serves both.
The length of its outage was computed from a value that cancelled out; it is twice cancel_s, as before.
- The comment of update_cancellation_knowledge says what it does, in lines of one length.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -858,6 +858,11 @@
         self.phase == Phase::Cancelled && self.end_revision == 0
     }
 
+    /// Whether the job was cancelled and its tasks may not be gone.
+    pub fn is_stopping(&self) -> bool {
+        self.phase == Phase::Cancelled && !self.fully_stopped
+    }
+
     /// Merges recorded failures. A part may be older than another one that holds the same
     /// task: the entry with the later attempt counts.
     fn merge_failures(&mut self, failures: BTreeMap<u32, Failures>) {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -499,7 +499,7 @@
     /// Starts to enforce a cancellation, even one recorded long ago: a controller requires
     /// this before it confirms the cancellation to the client.
     pub fn track_cancellation(&mut self, id: JobId, state_replica: &StateReplica, now: Micros) {
-        if state_replica.jobs.get(&id).is_some_and(|j| j.phase == Phase::Cancelled && !j.fully_stopped) {
+        if state_replica.jobs.get(&id).is_some_and(Job::is_stopping) {
             self.cancelled_jobs.entry(id).or_insert(now + self.config.cancel_timeout);
         }
     }
--- a/crates/core/src/node/cancellation_enforcement.rs
+++ b/crates/core/src/node/cancellation_enforcement.rs
@@ -141,8 +141,7 @@
     /// A cancelled job that may still be on machines, and the deadline for stopping it.
     fn unsettled_job(&self, id: JobId) -> Option<(Micros, &Job)> {
         let job = self.replica_sync.replica.jobs.get(&id)?;
-        let is_unsettled = job.phase == Phase::Cancelled && !job.fully_stopped;
-        is_unsettled.then(|| {
+        job.is_stopping().then(|| {
             (
                 cancellation_deadline(
                     job.ended_ms,
--- a/crates/core/src/node/cancellation_knowledge.rs
+++ b/crates/core/src/node/cancellation_knowledge.rs
@@ -49,12 +49,12 @@
 }
 
 impl Node {
-    /// Records that this process can know of new cancellations: a read of the state service proves
-    /// which were recorded before it was sent; or, in an outage, this process is in contact with a
-    /// majority of controllers, one of which has read the state and has told this process of all
-    /// cancellations, unless this process has read the state itself. A minority may be cut off from a state service that still serves
-    /// the other controllers; then possibly no controller outside the minority remains that could
-    /// stop the tasks which the minority keeps alive.
+    /// Records up to when this process knows all cancellations. A read of the state service proves
+    /// which were recorded before it was sent. In an outage, contact with a majority of controllers
+    /// does, once this process has read the state, or a controller in contact that has read it has
+    /// told this process of all cancellations. A minority may be cut off from a state service that
+    /// still serves the other controllers; then possibly no controller outside the minority remains
+    /// that could stop the tasks which the minority keeps alive.
     pub(super) fn update_cancellation_knowledge(&mut self) {
         let in_contact = |n: &NodeId| *n != self.members.own_id && self.in_contact(*n, PEER_TIMEOUT);
         let in_contact: Vec<NodeId> = self.peers.all().filter(in_contact).collect();
--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -195,8 +195,7 @@
     /// now on they are tracked.
     pub(super) fn unsettled_cancellations(&mut self) -> Vec<Cancellation> {
         let jobs = &self.replica_sync.replica.jobs;
-        let unsettled = jobs.iter().filter(|(_, j)| j.phase == Phase::Cancelled && !j.fully_stopped);
-        let unsettled: Vec<JobId> = unsettled.map(|(id, _)| *id).collect();
+        let unsettled: Vec<JobId> = jobs.iter().filter(|(_, j)| j.is_stopping()).map(|(id, _)| *id).collect();
         unsettled.into_iter().for_each(|id| self.track_cancellation(id));
         self.cancellations.jobs.values().map(|tracked| tracked.record.clone()).collect()
     }
--- a/crates/core/src/node/placement_knowledge.rs
+++ b/crates/core/src/node/placement_knowledge.rs
@@ -55,12 +55,7 @@
         if self.now.since(self.placements_known_at) < PEER_TIMEOUT {
             return None;
         }
-        let unsettled = self
-            .replica_sync
-            .replica
-            .jobs
-            .values()
-            .filter(|j| j.phase == Phase::Cancelled && !j.fully_stopped);
+        let unsettled = self.replica_sync.replica.jobs.values().filter(|j| j.is_stopping());
         unsettled
             .map(|job| {
                 cancellation_deadline(job.ended_ms, self.wall_ms, self.leader_config.cancel_timeout, self.now)
--- a/tests/world/lease_renewals.rs
+++ b/tests/world/lease_renewals.rs
@@ -115,9 +115,8 @@
             return Outcome::new(&w, false);
         }
         let confirmed_at = w.now;
-        let length = 2 * self.timing.cancel * MS;
         w.run(confirmed_at + self.outage_at * MS);
-        w.perform(leader, StateOutage(length * 1000 / w.size.cancel_timeout));
+        w.perform(leader, StateOutage(2_000));
         w.run(confirmed_at + self.exit_at * MS);
         w.all_exit((self.back_at - self.exit_at) * MS);
         w.run(confirmed_at + self.receive_at * MS);
@@ -126,7 +125,7 @@
             w.run(confirmed_at + at * MS);
             w.all_exit(downtime * MS);
         }
-        w.run(confirmed_at + length);
+        w.run(confirmed_at + 2 * w.size.cancel_timeout);
         Outcome::new(&w, true)
     }
 }
@@ -135,8 +134,7 @@
     /// Answers and direct commands to the machines that run cancelled tasks are lost, and their
     /// reports arrive.
     fn cancelled_machines_receive_nothing(&mut self) {
-        let cancelled = |t: &worker::Task| t.is_running() && Self::job_of(&t.name).0.is_multiple_of(2);
-        let holders = self.machines.values().filter(|m| m.tasks.iter().any(cancelled));
+        let holders = self.machines.values().filter(|m| Self::runs_cancelled_task(m));
         let holders: Vec<String> = holders.map(|m| m.name.clone()).collect();
         holders.iter().for_each(|m| self.make_unreachable(m, self.size.end_at));
     }
--- a/tests/world/scenarios.rs
+++ b/tests/world/scenarios.rs
@@ -375,9 +375,7 @@
             CancelAndHang(w, l) => {
                 self.perform(leader, Cancel(w));
                 let t = until(l);
-                let cancelled =
-                    |t: &worker::Task| t.is_running() && Self::job_of(&t.name).0.is_multiple_of(2);
-                let theirs = self.machines.values_mut().filter(|m| m.tasks.iter().any(cancelled));
+                let theirs = self.machines.values_mut().filter(|m| Self::runs_cancelled_task(m));
                 theirs.take(8).for_each(|m| m.hung_until = t);
             }
             Pause(w, l) => {
@@ -411,6 +409,11 @@
         }
     }
 
+    /// Whether a machine runs a task of a job that `Cancel` cancels.
+    pub fn runs_cancelled_task(m: &Machine) -> bool {
+        m.tasks.iter().any(|t| t.is_running() && Self::job_of(&t.name).0.is_multiple_of(2))
+    }
+
     /// Adds a job of two short tasks.
     pub fn short_job(&mut self) {
         let j = self.jobs.len();
