Settled jobs leave the controllers' memory; they are read by key

Cause: StateReplica held a Job for every job ever accepted, and a start read them all before the process was ready. Memory grew with the past.

Mend: a job is settled once its end is recorded and none of its tasks can be on a machine (Job::is_settled). The replica holds every job that is not settled, and a bounded number of the others. - Start (state_listing.rs): the ends are read beside the records, and a settled job is dropped as its end is met; two pages are held. No key moves. - Questions (node/past_jobs.rs): a job that the replica lacks is read by key, both rows, coalesced by job and within a quarter of this controller's requests. 404 only after such a read; what can't be read is 503, counted as job_unread. Repeated submissions, cancellations and awaits go the same way. - Dependencies that an active job names and that are not held are read; until then the job isn't released, and no question about it is answered. Jobs of reported tasks that are not held are read. - The leader forgets a job's run when it has ended, not when the replica shows it. - Vertices of the dependency graph go with their jobs.

--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -118,6 +118,16 @@
         self.workers.len()
     }
 
+    /// Jobs with a task that a worker held here has reported, or that is starting there.
+    pub fn jobs_on_workers(&self) -> BTreeSet<JobId> {
+        let tasks_of = |w: &Worker| {
+            let reported = w.tasks.iter().map(|t| t.task.job);
+            let started = w.starts.keys().map(|(task, _)| task.job);
+            reported.chain(started).collect::<Vec<_>>()
+        };
+        self.workers.values().flat_map(tasks_of).collect()
+    }
+
     /// Whether tasks may be started now.
     pub fn lease_valid(&self, now: Micros) -> bool {
         now < self.lease_until
--- a/crates/core/src/dependencies.rs
+++ b/crates/core/src/dependencies.rs
@@ -119,6 +119,23 @@
         cancelled
     }
 
+    /// Whether no job has dependencies or dependents.
+    pub fn is_empty(&self) -> bool {
+        self.vertices.is_empty()
+    }
+
+    /// Removes a job whose outcome no open job needs any more.
+    pub fn remove(&mut self, job: JobId) {
+        let Some(vertex) = self.vertices.remove(&job) else { return };
+        for dependency in vertex.dependencies {
+            let Some(other) = self.vertices.get_mut(&dependency) else { continue };
+            other.dependents.retain(|dependent| *dependent != job);
+            if other.dependents.is_empty() && other.dependencies.is_empty() && !other.incomplete {
+                self.vertices.remove(&dependency);
+            }
+        }
+    }
+
     /// Whether all dependencies of the job are known and done.
     pub fn is_released(&self, job: JobId) -> bool {
         self.vertices.get(&job).is_none_or(|v| v.unfinished == 0 && !v.incomplete)
--- a/crates/core/src/extension.rs
+++ b/crates/core/src/extension.rs
@@ -122,6 +122,9 @@
     fn apply(&mut self, name: &str, value: Option<&Value>, revision: u64);
     /// A record changed of a job whose id was assigned by the service.
     fn job_changed(&mut self, id: JobId, revision: u64);
+    /// Whether the extension still needs the records of an ended job whose id was assigned by the
+    /// service.
+    fn refers_to(&self, id: JobId) -> bool;
     /// Handles an input; returns the actions to take.
     fn handle(&mut self, context: &ExtensionContext<'_>, input: ExtensionInput) -> Vec<ExtensionOutput>;
 }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -7,7 +7,7 @@
 use gorseshore_protocol::workers::Report;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// A job specification as it is stored. New fields get a default, so that records of
@@ -293,9 +293,9 @@
 /// A job according to its records.
 #[derive(Debug, Clone)]
 pub struct Job {
-    /// Specification; dropped some time after the job has ended.
+    /// Specification; `None` if the record was not read or can't be parsed.
     pub spec: Option<Rc<JobSpec>>,
-    /// Revision of the job's record.
+    /// Revision of the job's record; 0 if only its end was read.
     pub revision: u64,
     /// Wall-clock time of the submission, in milliseconds.
     pub submitted_ms: u64,
@@ -323,6 +323,8 @@
     pub further_part_keys: BTreeSet<String>,
     /// Why the service ended the job, if it did.
     pub cause: Option<String>,
+    /// Revision at which the job was settled or last read by key; `None` while it is not settled.
+    last_used: Option<u64>,
 }
 
 /// Failed attempts of a task.
@@ -421,38 +423,52 @@
     pub const STANDBY_REPLICAS: &str = "g/books";
     /// Prefix of the records that hold several machines.
     pub const MACHINES_PREFIX: &str = "g/h/";
+    /// Prefix of the jobs' records.
+    pub const JOB_PREFIX: &str = "g/j/";
+    /// Prefix of the records of jobs' ends.
+    pub const END_PREFIX: &str = "g/x/";
+    /// Prefix of dependencies that don't fit into their jobs' records.
+    pub const DEPENDENCIES_PREFIX: &str = "g/d/";
+    /// Prefix of the jobs' progress.
+    pub const PROGRESS_PREFIX: &str = "g/p/";
+    /// Prefix of the jobs' failures.
+    pub const FAILURES_PREFIX: &str = "g/r/";
     /// Id of the last rental request.
     pub const LAST_RENTAL_REQUEST: &str = "g/hire";
     /// A job's record.
     pub fn job(id: JobId) -> String {
-        format!("g/j/{id}")
+        format!("{JOB_PREFIX}{id}")
     }
     /// The record of a job's end.
     pub fn end(id: JobId) -> String {
-        format!("g/x/{id}")
+        format!("{END_PREFIX}{id}")
     }
     /// A part of a job's dependencies that don't fit into its record.
     pub fn dependencies(id: JobId, part: u32) -> String {
-        format!("g/d/{id}/{part}")
+        format!("{}{part}", all_dependencies(id))
+    }
+    /// Prefix of all parts of a job's dependencies.
+    pub fn all_dependencies(id: JobId) -> String {
+        format!("{DEPENDENCIES_PREFIX}{id}/")
     }
     /// A chunk of a job's progress.
     pub fn progress(id: JobId, chunk: u32) -> String {
-        format!("g/p/{id}/{chunk}")
+        format!("{PROGRESS_PREFIX}{id}/{chunk}")
     }
     /// A chunk of a job's failures. Listings are sorted by key, and a job must be listed
     /// before its failures and those before its end: `r` sorts between `j` and `x`.
     pub fn failures(id: JobId, chunk: u32) -> String {
-        format!("g/r/{id}/{chunk}")
+        format!("{FAILURES_PREFIX}{id}/{chunk}")
     }
     /// A part of a chunk's progress. The first part has the key [`progress`]; each further
     /// part prepends one more zero to the chunk number. Versions that expect one key per
     /// chunk parse this as the same number and merge the tasks of all parts.
     pub fn progress_part(id: JobId, chunk: u32, part: usize) -> String {
-        format!("g/p/{id}/{}{chunk}", "0".repeat(part))
+        format!("{PROGRESS_PREFIX}{id}/{}{chunk}", "0".repeat(part))
     }
     /// A part of a chunk's failures, named in the same way as [`progress_part`].
     pub fn failures_part(id: JobId, chunk: u32, part: usize) -> String {
-        format!("g/r/{id}/{}{chunk}", "0".repeat(part))
+        format!("{FAILURES_PREFIX}{id}/{}{chunk}", "0".repeat(part))
     }
     /// Whether a progress or failure key names a further part of a chunk.
     pub fn is_further_part(name: &str) -> bool {
@@ -497,6 +513,36 @@
     end
 }
 
+/// The record of a job's end.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobEnd {
+    /// Done or cancelled.
+    pub phase: Phase,
+    /// Wall-clock time of the end, in milliseconds.
+    pub at_ms: u64,
+    /// The job was cancelled and none of its tasks is left on any machine.
+    pub fully_stopped: bool,
+    /// Why the service ended the job, if it did.
+    pub cause: Option<String>,
+}
+
+impl JobEnd {
+    /// Parses the value of an end's record; one that is not `done` is a cancellation.
+    pub fn parse(v: &Value) -> Self {
+        JobEnd {
+            phase: if v["end"] == "done" { Phase::Done } else { Phase::Cancelled },
+            at_ms: v["at"].as_u64().unwrap_or(0),
+            fully_stopped: v["gone"] == true,
+            cause: v["why"].as_str().map(str::to_owned),
+        }
+    }
+
+    /// Whether none of the job's tasks can be on a machine.
+    pub fn is_settled(&self) -> bool {
+        self.phase == Phase::Done || self.fully_stopped
+    }
+}
+
 /// Bytes of a job's record reserved for the submission time and for the overhead that the
 /// state service counts beside the text.
 const RECORD_OVERHEAD_BYTES: usize = 64;
@@ -566,9 +612,14 @@
 }
 
 /// A controller's replica of the records in the state service.
+///
+/// Invariant: every recorded job that is not settled ([`Job::is_settled`]) is held, as of
+/// `applied_revision`. Of settled jobs only some are held, so a job that is missing here is
+/// settled, was never accepted, or was accepted after `applied_revision`; its rows in the state
+/// service tell which.
 #[derive(Debug, Default)]
 pub struct StateReplica {
-    /// Recorded jobs.
+    /// Recorded jobs: all that are not settled, and some of the others.
     pub jobs: BTreeMap<JobId, Job>,
     /// Recorded machines.
     pub machines: BTreeMap<MachineId, MachineRecord>,
@@ -589,8 +640,10 @@
     /// Dependencies in further keys, where the job's record or another of these keys has
     /// not been read yet.
     dependency_parts: BTreeMap<JobId, DependencyParts>,
-    /// Ended jobs whose specification is still held, oldest first.
-    ended_with_spec: VecDeque<JobId>,
+    /// Dependencies of active jobs that are not held: their outcome has to be read by key.
+    missing_dependencies: BTreeSet<JobId>,
+    /// Settled jobs that are held, by the revision at which each was last used.
+    settled: BTreeSet<(u64, JobId)>,
 }
 
 /// Further dependency keys of a job that have been read.
@@ -601,9 +654,6 @@
     read: BTreeMap<u32, Vec<JobId>>,
 }
 
-/// Maximum number of ended jobs whose specification is held.
-const MAX_ENDED_SPECS: usize = 2000;
-
 impl StateReplica {
     /// Applies a change of one key; `value` is `None` if the key was removed.
     pub fn apply(&mut self, key: &str, value: Option<&Value>, revision: u64) -> Change {
@@ -649,6 +699,13 @@
                 job.tasks = spec.as_ref().map_or(0, |s| s.tasks);
                 job.is_service = spec.as_ref().is_some_and(|s| s.kind == Kind::Service);
                 job.spec = spec.clone();
+                let ended = job.phase != Phase::Active;
+                self.missing_dependencies.remove(&id);
+                if ended {
+                    // Its dependencies decide nothing any more.
+                    self.dependency_parts.remove(&id);
+                    return Change::Job { id, cancelled: Vec::new() };
+                }
                 let in_record = spec.as_ref().map_or(&[][..], |s| &s.dependencies);
                 let mut cancelled = self.add_dependencies(id, in_record);
                 if keys > 0 {
@@ -661,6 +718,9 @@
                 let (Some((id, part)), Some(v)) = (keys::parse_chunk(name), value) else {
                     return Change::Other;
                 };
+                if self.jobs.get(&id).is_some_and(|job| job.phase != Phase::Active) {
+                    return Change::Job { id, cancelled: Vec::new() };
+                }
                 let ids = Vec::<u64>::deserialize(v).unwrap_or_default();
                 let parts = self.dependency_parts.entry(id).or_default();
                 parts.read.insert(part, ids.into_iter().map(JobId).collect());
@@ -669,25 +729,12 @@
             }
             "x" => {
                 let (Some(id), Some(v)) = (JobId::parse(name), value) else { return Change::Other };
-                let job = self.jobs.entry(id).or_insert_with(Job::empty);
-                let previous_phase = job.phase;
-                let cancelled_by_dependency = job.cancelled_by_dependency();
-                job.phase = if v["end"] == "done" { Phase::Done } else { Phase::Cancelled };
-                job.ended_ms = v["at"].as_u64().unwrap_or(0);
-                job.end_revision = revision;
-                // No task of a job that was cancelled with a dependency was ever started.
-                job.fully_stopped =
-                    v["gone"] == true || cancelled_by_dependency && job.phase == Phase::Cancelled;
-                job.done = TaskSet::default();
-                job.progress_revisions.clear();
-                job.failures.clear();
-                job.failure_revisions.clear();
-                job.further_part_keys.clear();
-                job.cause = v["why"].as_str().map(str::to_owned);
-                if previous_phase == Phase::Active {
-                    self.retain_ended_spec(id);
+                let end = JobEnd::parse(v);
+                // A settled job that nothing here depends on is not needed.
+                if end.is_settled() && !self.jobs.contains_key(&id) && !self.is_dependency(id) {
+                    return Change::Other;
                 }
-                let cancelled = self.propagate_end(id);
+                let cancelled = self.record_end(id, end, revision);
                 Change::Job { id, cancelled }
             }
             "p" => {
@@ -749,22 +796,114 @@
 }
 
 impl StateReplica {
-    /// Retains the specification of an ended job, because its tasks may still be on
-    /// machines, and drops the oldest one beyond [`MAX_ENDED_SPECS`]. Only the end is kept
-    /// forever.
-    fn retain_ended_spec(&mut self, id: JobId) {
-        self.ended_with_spec.push_back(id);
-        if self.ended_with_spec.len() > MAX_ENDED_SPECS
-            && let Some(oldest) = self.ended_with_spec.pop_front()
-            && let Some(job) = self.jobs.get_mut(&oldest)
-        {
-            job.spec = None;
+    /// Stores the end of a job; returns the jobs that are cancelled with it.
+    fn record_end(&mut self, id: JobId, end: JobEnd, revision: u64) -> Vec<JobId> {
+        let job = self.jobs.entry(id).or_insert_with(Job::empty);
+        // No task of a job that was cancelled with a dependency was ever started.
+        let never_started = job.cancelled_by_dependency() && end.phase == Phase::Cancelled;
+        job.phase = end.phase;
+        job.ended_ms = end.at_ms;
+        job.end_revision = revision;
+        job.fully_stopped = end.fully_stopped || never_started;
+        job.cause = end.cause;
+        job.done = TaskSet::default();
+        job.progress_revisions.clear();
+        job.failures.clear();
+        job.failure_revisions.clear();
+        job.further_part_keys.clear();
+        self.missing_dependencies.remove(&id);
+        self.dependency_parts.remove(&id);
+        self.mark_used(id, revision);
+        self.propagate_end(id)
+    }
+
+    /// Notes that a job was of use at a revision, if it is settled.
+    fn mark_used(&mut self, id: JobId, revision: u64) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_settled()) else { return };
+        let last_used = job.last_used.map_or(revision, |earlier| earlier.max(revision));
+        if let Some(earlier) = job.last_used.replace(last_used) {
+            self.settled.remove(&(earlier, id));
+        }
+        self.settled.insert((last_used, id));
+    }
+
+    /// Whether an active job names this one as its dependency.
+    pub fn is_dependency(&self, id: JobId) -> bool {
+        let dependents = self.dependencies.dependents(id);
+        dependents.iter().any(|d| self.jobs.get(d).is_some_and(|job| job.phase == Phase::Active))
+    }
+
+    /// Dependencies of active jobs that are not held here.
+    pub fn missing_dependencies(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.missing_dependencies.iter().copied()
+    }
+
+    /// A dependency, direct or through other jobs, that an active job has and that is not held: it
+    /// may have been cancelled, and this job with it.
+    pub fn missing_dependency_of(&self, id: JobId) -> Option<JobId> {
+        if self.missing_dependencies.is_empty() {
+            return None;
+        }
+        let mut seen = BTreeSet::new();
+        let mut queue = vec![id];
+        while let Some(next) = queue.pop() {
+            if self.jobs.get(&next).is_none_or(|job| job.phase != Phase::Active) || !seen.insert(next) {
+                continue;
+            }
+            let dependencies = self.dependencies.dependencies(next);
+            if let Some(missing) = dependencies.iter().find(|d| self.missing_dependencies.contains(d)) {
+                return Some(*missing);
+            }
+            queue.extend(dependencies);
+        }
+        None
+    }
+
+    /// Adds a settled job that was read by key: its record and its end. Returns what changed.
+    pub fn add_settled(&mut self, id: JobId, record: Option<(&Value, u64)>, end: (&Value, u64)) -> Change {
+        let cancelled = self.record_end(id, JobEnd::parse(end.0), end.1);
+        if let Some((value, revision)) = record {
+            self.apply(&keys::job(id), Some(value), revision);
         }
+        self.mark_used(id, self.applied_revision);
+        Change::Job { id, cancelled }
+    }
+
+    /// Number of settled jobs that are held.
+    pub fn settled_count(&self) -> usize {
+        self.settled.len()
+    }
+
+    /// Whether some of the records that name the job's dependencies were not read yet.
+    pub fn lacks_dependencies(&self, id: JobId) -> bool {
+        self.dependency_parts.contains_key(&id)
+    }
+
+    /// Drops settled jobs that are neither `in_use` nor named as a dependency by an active job,
+    /// except for the `capacity` that were used last. Returns the revision at which the first of
+    /// these was used, if there are as many.
+    pub fn drop_settled(&mut self, capacity: usize, in_use: impl Fn(JobId) -> bool) -> Option<u64> {
+        let missing = std::mem::take(&mut self.missing_dependencies);
+        self.missing_dependencies = missing.into_iter().filter(|id| self.is_dependency(*id)).collect();
+        if self.settled.len() < capacity {
+            return None;
+        }
+        let unused = |(_, id): &&(u64, JobId)| !in_use(*id) && !self.is_dependency(*id);
+        let unused: Vec<(u64, JobId)> = self.settled.iter().filter(unused).copied().collect();
+        let excess = unused.len().saturating_sub(capacity);
+        for (last_used, id) in &unused[..excess] {
+            self.jobs.remove(id);
+            self.settled.remove(&(*last_used, *id));
+            self.dependencies.remove(*id);
+        }
+        (unused.len() >= capacity).then(|| unused.get(excess).map(|(last_used, _)| *last_used)).flatten()
     }
 
     /// Adds dependencies of a job whose record has been read; returns the jobs that this
     /// cancels.
     fn add_dependencies(&mut self, id: JobId, dependencies: &[JobId]) -> Vec<JobId> {
+        let missing = dependencies.iter().filter(|d| !self.jobs.contains_key(d));
+        self.missing_dependencies.extend(missing);
         let jobs = &self.jobs;
         let outcome_of = |id: JobId| jobs.get(&id).map_or(Outcome::Open, |j| j.phase.outcome());
         let cancelled = self.dependencies.add(id, dependencies, outcome_of);
@@ -807,7 +946,6 @@
             job.phase = Phase::Cancelled;
             job.ended_ms = at_ms;
             job.fully_stopped = true;
-            self.retain_ended_spec(*id);
         }
     }
 
@@ -858,6 +996,17 @@
         self.phase == Phase::Cancelled && self.end_revision == 0
     }
 
+    /// Whether the job's end is recorded and none of its tasks can be on a machine: nothing needs
+    /// to be done about it any more.
+    pub fn is_settled(&self) -> bool {
+        self.end_revision > 0
+            && match self.phase {
+                Phase::Active => false,
+                Phase::Done => true,
+                Phase::Cancelled => self.fully_stopped,
+            }
+    }
+
     /// Whether the job was cancelled and its tasks may not be gone.
     pub fn is_stopping(&self) -> bool {
         self.phase == Phase::Cancelled && !self.fully_stopped
@@ -891,6 +1040,7 @@
             failure_revisions: BTreeMap::new(),
             further_part_keys: BTreeSet::new(),
             cause: None,
+            last_used: None,
         }
     }
 }
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -391,9 +391,7 @@
             self.cancelled_jobs.remove(&j);
         }
         // Removes ended jobs without bound tasks.
-        self.jobs.retain(|id, r| {
-            !r.bound.is_empty() || state_replica.jobs.get(id).is_none_or(|j| j.phase == Phase::Active)
-        });
+        self.jobs.retain(|_, r| !r.bound.is_empty() || !r.ended);
     }
 
     /// When to delete machines that may hold tasks which have to be terminated `by` a given
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -442,6 +442,11 @@
         FencingToken::new(self.term, self.token_sequence).0
     }
 
+    /// Whether this leader still has work with an ended job.
+    pub fn refers_to(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id) || self.unrecorded_cancellations.contains(&id)
+    }
+
     /// Whether the term's fencing tokens are nearly used up, so the leader must step down.
     pub fn tokens_exhausted(&self) -> bool {
         self.token_sequence + 100_000 >= 1 << TOKEN_SEQUENCE_BITS
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peer;
 pub mod placement;
 pub mod placement_log;
+pub mod state_listing;
 pub mod token_bucket;
 
 use crate::peer::Message;
--- a/crates/core/src/node/cancellation_enforcement.rs
+++ b/crates/core/src/node/cancellation_enforcement.rs
@@ -239,6 +239,7 @@
                 debug!("{machine}: ignored a probe response that is older than another report");
             }
         }
+        self.fetch_jobs_of_tasks(tasks.iter().map(|t| t.task));
         let unwanted = Controller::stops_for_unleased(&tasks, &self.replica_sync.replica);
         let Some(stops) = self.enforcer.record_probe_response(&r, unwanted) else { return };
         let call = self.out.call(Call {
--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -71,6 +71,11 @@
 }
 
 impl Cancellations {
+    /// Whether a request waits for the confirmation of this job's cancellation.
+    pub fn is_awaited(&self, job: JobId) -> bool {
+        self.jobs.get(&job).is_some_and(|tracked| !tracked.requesters.is_empty())
+    }
+
     /// Merges a cancellation; returns whether it was new here.
     fn merge(&mut self, c: &Cancellation, nodes: usize, now: Micros) -> bool {
         if let Some(tracked) = self.jobs.get_mut(&c.job) {
@@ -382,6 +387,9 @@
                 return warn!("{}: ignored a notification of its cancellation: the job is done", c.job);
             }
             Some(Phase::Cancelled) => {}
+            // The replica holds every record up to its revision that is not settled: this
+            // cancellation is complete.
+            None if self.is_applied(c.record_version) => {}
             Some(Phase::Active) | None => {
                 debug!("{}: cancelled on notification by another controller", c.job);
                 let end = jobs::cancelled_value(c.ended_ms, c.cause.as_deref(), false);
@@ -394,6 +402,11 @@
         }
     }
 
+    /// Whether the state replica has applied the record of this revision.
+    fn is_applied(&self, record_version: u64) -> bool {
+        record_version > 0 && record_version <= self.replica_sync.replica.applied_revision
+    }
+
     /// Applies the known cancellations again after the state was read from the start: they still
     /// hold.
     pub(super) fn reapply_cancellations(&mut self) {
--- a/crates/core/src/node/control_loop.rs
+++ b/crates/core/src/node/control_loop.rs
@@ -11,6 +11,7 @@
         self.status.ticked(self.now);
         self.log_readiness();
         self.expire_waiters();
+        self.tend_past_jobs();
         self.update_cancellation_knowledge();
         self.log_lease_renewals();
         self.update_placements_known_at();
@@ -69,13 +70,13 @@
     pub(super) fn watch_state(&mut self) {
         if !self.replica_sync.listed {
             if !self.replica_sync.list_in_flight && self.now >= self.replica_sync.next_list_at {
-                let (from, first_revision, replica) =
-                    self.replica_sync.interrupted_list.take().unwrap_or_else(|| {
-                        let mut replica = Box::<StateReplica>::default();
-                        replica.extension_entries = self.has_extension.then(Vec::new);
-                        (None, None, replica)
-                    });
-                self.list_state(from, first_revision, replica);
+                let listing = match self.replica_sync.interrupted_list.take() {
+                    Some(listing) => listing,
+                    None => self.new_listing(),
+                };
+                if let Some(path) = listing.next_path() {
+                    self.request_list_page(listing, path);
+                }
             }
             return;
         }
@@ -91,24 +92,21 @@
         }
     }
 
-    pub(super) fn list_state(
-        &mut self,
-        from: Option<String>,
-        first_revision: Option<u64>,
-        replica: Box<StateReplica>,
-    ) {
+    /// Starts to read all keys. Ends of jobs that are held now are passed on.
+    fn new_listing(&mut self) -> Box<StateListing> {
+        self.replica_sync.read_progress = ReadProgress { started_at: self.now, ..ReadProgress::default() };
+        let retention = Retention {
+            known: self.replica_sync.replica.jobs.keys().copied().collect(),
+            internal: self.has_extension,
+            latest: self.past_jobs.held,
+        };
+        Box::new(StateListing::new(retention, self.has_extension))
+    }
+
+    pub(super) fn request_list_page(&mut self, listing: Box<StateListing>, path: String) {
         self.replica_sync.list_in_flight = true;
-        if from.is_none() {
-            self.replica_sync.read_progress =
-                ReadProgress { started_at: self.now, ..ReadProgress::default() };
-        }
-        let mut path = format!("/store?prefix={}&limit=1000", keys::ROOT_PREFIX);
-        if let Some(f) = &from {
-            path.push_str("&from=");
-            path.push_str(f);
-        }
         let id = self.call_state_service("GET", path, Vec::new(), Micros::millis(2500));
-        self.calls.insert(id, CallPurpose::List { from, first_revision, replica });
+        self.calls.insert(id, CallPurpose::List(listing));
     }
 
     pub(super) fn apply_events(&mut self, response: WatchResponse) {
--- a/crates/core/src/node/heartbeats.rs
+++ b/crates/core/src/node/heartbeats.rs
@@ -10,6 +10,7 @@
             return self.out.respond(id, 400, users::error_body("a task's name is unreadable"));
         };
         self.record_heartbeat(&r, &tasks);
+        self.fetch_jobs_of_tasks(tasks.iter().map(|t| t.task));
         let machine = MachineId::from(&*r.machine);
         // A report that contradicts the machine's record does not come from that machine: two
         // workers share a name, or one is misconfigured. It is ignored and its lease is not
--- a/crates/core/src/node/messaging.rs
+++ b/crates/core/src/node/messaging.rs
@@ -130,6 +130,10 @@
                 }
             }
             m @ Message::Sync { .. } => {
+                if let (Message::Sync { machines, .. }, Some(_)) = (&m, &self.leadership.leader) {
+                    let tasks = machines.iter().flat_map(|machine| &machine.tasks);
+                    self.fetch_jobs_of_tasks(tasks.map(|t| t.task));
+                }
                 if let Some((term, view)) = SyncView::of(&m)
                     && let Some(l) = self.leadership.leader.as_mut().filter(|l| l.term == term)
                 {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod leadership;
 mod membership;
 mod messaging;
+mod past_jobs;
 mod pending_requests;
 mod placement_knowledge;
 mod query_wait;
@@ -27,6 +28,7 @@
 use deferred_heartbeats::DeferredHeartbeats;
 use leadership::Leadership;
 use membership::{PEER_TIMEOUT, Peers};
+use past_jobs::{JobRow, PastJobs};
 use pending_requests::{MAX_PENDING, PendingRequests, PendingWrite, Waiter};
 use query_wait::QueryLog;
 use readiness::Readiness;
@@ -38,12 +40,14 @@
 use crate::controller::{Controller, HeartbeatReply, parse_tasks};
 use crate::election::Role;
 use crate::extension::{Extension, ExtensionContext, ExtensionInput, ExtensionOutput, OperationId};
-use crate::jobs::{self, Change, LeaderRecord, MachineRecord, Phase, StateReplica, keys};
+use crate::jobs::{self, Change, JobEnd, LeaderRecord, MachineRecord, Phase, keys};
 use crate::leader::{CloudRequest, Leader, LeaderConfig, LeaderWrite, ScaleOutRequest, SyncView};
 use crate::limits::StoreLimits;
 use crate::liveness::LivenessMonitor;
 use crate::peer::{Envelope, Message, UnleasedReport};
 use crate::placement_log::{LogReplica, LogReplicas};
+use crate::state_listing::{Retention, StateListing};
+use crate::token_bucket::TokenBucket;
 use crate::{Call, CallId, CallResult, Input, Outbox, Output, RequestId, Target};
 use gorseshore_protocol::cloud::{Flavors, MachineNames, Rentals};
 use gorseshore_protocol::ids::{
@@ -87,11 +91,9 @@
 /// What a call was made for.
 #[derive(Debug)]
 enum CallPurpose {
-    List {
-        from: Option<String>,
-        first_revision: Option<u64>,
-        replica: Box<StateReplica>,
-    },
+    List(Box<StateListing>),
+    /// A read of one row of a job that the state replica lacks.
+    JobRow(JobId, JobRow),
     Watch,
     ReadBarrier {
         waiters: Vec<(Waiter, Micros)>,
@@ -151,6 +153,7 @@
     incarnation: u64,
     replica_sync: ReplicaSync,
     pending: PendingRequests,
+    past_jobs: PastJobs,
     status: ServiceStatus,
     query_log: QueryLog,
     logged_readiness: Option<Readiness>,
@@ -208,6 +211,7 @@
             incarnation: incarnation.max(2),
             replica_sync: ReplicaSync::default(),
             pending: PendingRequests::new(limits.writes_per_s * 0.9 / n, limits.requests_per_s / n, now),
+            past_jobs: PastJobs::new(limits.requests_per_s / n, now),
             status: ServiceStatus::new(now),
             query_log: QueryLog::default(),
             logged_readiness: None,
@@ -338,9 +342,8 @@
             }
         }
         match p {
-            CallPurpose::List { from, first_revision, replica } => {
-                self.list_page_received(from, first_revision, replica, result)
-            }
+            CallPurpose::List(listing) => self.list_page_received(listing, result),
+            CallPurpose::JobRow(job, row) => self.job_row_received(job, row, &result),
             CallPurpose::Watch => {
                 self.replica_sync.watch_in_flight = false;
                 match result {
@@ -503,46 +506,43 @@
         self.calls.insert(id, CallPurpose::RevokeLease);
     }
 
-    fn list_page_received(
-        &mut self,
-        from: Option<String>,
-        first_revision: Option<u64>,
-        mut replica: Box<StateReplica>,
-        result: CallResult,
-    ) {
+    fn list_page_received(&mut self, mut listing: Box<StateListing>, result: CallResult) {
         self.replica_sync.list_in_flight = false;
-        let page: Option<Listing> = match &result {
-            CallResult::Response { status: 200, body } => serde_json::from_slice(body).ok(),
+        let body = match result {
+            CallResult::Response { status: 200, body } => Some(body),
             _ => None,
         };
-        let Some(page) = page else {
+        let bytes = body.as_ref().map_or(0, Vec::len);
+        let page = body.map(|body| listing.page_received(body));
+        let Some(Ok(())) = page else {
+            if let Some(Err(e)) = page {
+                warn!("state read: {e}");
+            }
             // Many processes that start at once share the state service's budget: the pages read so
             // far are kept, and the read resumes after a pause.
             let pause = Micros::millis(150 + self.rng.u64(0..300));
             self.replica_sync.next_list_at = self.now + pause;
             self.replica_sync.read_progress.interruptions += 1;
-            if from.is_some() {
-                debug!("state read interrupted");
-                self.replica_sync.interrupted_list = Some((from, first_revision, replica));
-            }
+            debug!("state read interrupted");
+            self.replica_sync.interrupted_list = Some(listing);
             return;
         };
         self.replica_sync.read_progress.pages += 1;
-        if let CallResult::Response { body, .. } = &result {
-            self.replica_sync.read_progress.bytes += body.len();
+        self.replica_sync.read_progress.bytes += bytes;
+        match listing.next_path() {
+            Some(path) => self.request_list_page(listing, path),
+            None => self.list_completed(*listing),
         }
-        for p in &page.entries {
-            replica.apply(&p.key, Some(&p.value), p.revision);
-        }
-        // Later pages are newer: the watch starts at the first page's revision and its events are
-        // applied over them.
-        let first_revision = first_revision.unwrap_or(page.revision);
-        if let (true, Some(last)) = (page.truncated, page.entries.last()) {
-            return self.list_state(Some(last.key.clone()), Some(first_revision), replica);
-        }
-        replica.applied_revision = first_revision;
+    }
+
+    /// Replaces the state replica by the one that was read.
+    fn list_completed(&mut self, listing: StateListing) {
+        // The watch starts at the first page's revision: its events are applied over later pages.
+        let (first_revision, last_revision) = (listing.first_revision(), listing.last_revision());
+        let settled_jobs = listing.settled_jobs();
+        let mut replica = listing.finish();
         let extension_entries = replica.extension_entries.take().unwrap_or_default();
-        self.replica_sync.replica = *replica;
+        self.replica_sync.replica = replica;
         self.reapply_cancellations();
         if let Some(g) = self.extension.as_mut() {
             g.reset(first_revision);
@@ -564,9 +564,8 @@
         }
         let ReadProgress { started_at, pages, bytes, interruptions } = self.replica_sync.read_progress;
         info!(
-            "state read revision={first_revision} last_revision={} pages={pages} bytes={bytes} \
-             interruptions={interruptions} duration_ms={} jobs={} machines={}",
-            page.revision,
+            "state read revision={first_revision} last_revision={last_revision} pages={pages} bytes={bytes} \
+             interruptions={interruptions} duration_ms={} jobs={} settled_jobs={settled_jobs} machines={}",
             self.now.since(started_at).0 / 1000,
             self.replica_sync.replica.jobs.len(),
             self.replica_sync.replica.machines.len()
@@ -599,8 +598,8 @@
                     self.replica_sync.loaded = true;
                     info!("ready");
                 }
-                for (w, _) in waiters {
-                    self.complete_waiter(w);
+                for (w, until) in waiters {
+                    self.complete_waiter(w, until);
                 }
             }
             None => {
--- a/crates/core/src/node/replica_sync.rs
+++ b/crates/core/src/node/replica_sync.rs
@@ -1,5 +1,6 @@
 //! The state replica's list and watch calls, and whether the state service is reachable.
 use crate::jobs::StateReplica;
+use crate::state_listing::StateListing;
 use gorseshore_protocol::ids::Micros;
 
 /// A read barrier is sent when the state service has answered nothing for this time.
@@ -30,9 +31,8 @@
     /// No new watch before this.
     pub next_watch_at: Micros,
     pub next_list_at: Micros,
-    /// An interrupted read: the key after which it resumes, the revision of its first page, and
-    /// what was read.
-    pub interrupted_list: Option<(Option<String>, Option<u64>, Box<StateReplica>)>,
+    /// An interrupted read of all keys.
+    pub interrupted_list: Option<Box<StateListing>>,
     /// When the last read barrier that succeeded was sent: the replica holds all that was recorded
     /// before.
     pub proven_at: Option<Micros>,
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -33,7 +33,7 @@
                     Some(j) if abort => self.await_read_barrier(Waiter::Abort(id, j), Micros::millis(3500)),
                     Some(j) => {
                         self.status.poll_received(id, j, self.now);
-                        self.await_read_barrier(Waiter::Poll(id, j), Micros::millis(1500));
+                        self.await_read_barrier(Waiter::Poll(id, j), past_jobs::REQUEST_TIMEOUT);
                     }
                 }
             }
@@ -45,6 +45,9 @@
     /// every controller that must know of it has acknowledged it. Returns false if the job is
     /// active or unknown.
     pub(super) fn answer_if_ended(&mut self, id: RequestId, job: JobId) -> bool {
+        if self.lacks_job(job) {
+            return false;
+        }
         let Some(j) = self.replica_sync.replica.jobs.get(&job) else { return false };
         match j.phase {
             Phase::Active => return false,
@@ -69,14 +72,9 @@
         self.out.respond(id, 200, body);
     }
 
-    pub(super) fn answer_current_state(&mut self, id: RequestId, job: JobId) {
-        if self.answer_if_ended(id, job) {
-            return;
-        }
-        let Some(j) = self.replica_sync.replica.jobs.get(&job) else {
-            self.log_answer(job, "unknown");
-            return self.out.respond(id, 404, users::error_body("no such job"));
-        };
+    /// Answers with the state of a job that the replica holds and that has not ended.
+    fn answer_active(&mut self, id: RequestId, job: JobId) {
+        let Some(j) = self.replica_sync.replica.jobs.get(&job) else { return };
         let running = self.controller.running_counts.get(&job).copied().unwrap_or(0);
         let stage = if running > 0 { "running" } else { "queued" };
         self.out.respond(id, 200, users::job_status_body(job, stage, j.done.count_below(j.tasks), running));
@@ -88,10 +86,15 @@
         {
             return;
         }
+        let until = self.now + limit;
+        if let Waiter::Poll(_, j) | Waiter::Abort(_, j) = &w
+            && self.lacks_job(*j)
+        {
+            return self.await_past_job(*j, w, until);
+        }
         if let Some(reason) = self.refusal_reason(self.pending.waiters.len()) {
             return self.fail_waiter(&w, reason);
         }
-        let until = self.now + limit;
         self.pending.waiters.push((w, until));
         self.start_read_barrier();
     }
@@ -172,10 +175,10 @@
         Ok(s)
     }
 
-    /// A dependency of the submission that is not in the state replica: it was never accepted, or
-    /// this replica is behind.
+    /// A dependency of the submission that is not in the state replica: it is settled, was never
+    /// accepted, or this replica is behind.
     fn unknown_dependency(&self, s: &JobSpec) -> Option<JobId> {
-        s.dependencies.iter().find(|id| !self.replica_sync.replica.jobs.contains_key(id)).copied()
+        s.dependencies.iter().find(|id| self.lacks_job(**id)).copied()
     }
 
     /// Starts one read barrier for all waiting requests.
@@ -213,39 +216,22 @@
         self.call_state_service("POST", "/multi".into(), body, Micros::millis(2500))
     }
 
-    pub(super) fn complete_waiter(&mut self, w: Waiter) {
+    /// Goes on with a request whose read barrier is complete, or whose job was read by key.
+    pub(super) fn complete_waiter(&mut self, w: Waiter, until: Micros) {
         match w {
             Waiter::Extension(t) => self.run_extension(ExtensionInput::ReadBarrierDone(t, true)),
+            Waiter::Poll(id, job) | Waiter::Abort(id, job) if self.answer_if_ended(id, job) => {}
+            Waiter::Poll(_, job) | Waiter::Abort(_, job) if self.unread_job(job).is_some() => {
+                if let Some(unread) = self.unread_job(job) {
+                    self.await_past_job(unread, w, until);
+                }
+            }
             Waiter::Poll(id, job) => {
                 self.status.check_read_barrier(id);
-                self.answer_current_state(id, job);
-            }
-            Waiter::Submit(id, job, checked) => {
-                if self.replica_sync.replica.jobs.contains_key(&job) {
-                    return self.answer_current_state(id, job);
-                }
-                // The read barrier's events may have brought the dependency.
-                match checked.and_then(|spec| self.validate_submission(spec)) {
-                    Ok(spec) => {
-                        if let Some(dependency) = self.unknown_dependency(&spec) {
-                            let reason = format!("awaits: {dependency} was never accepted");
-                            return self.out.respond(id, 422, users::error_body(&reason));
-                        }
-                        let until = self.now + Micros::millis(3000);
-                        self.pending.writes.push_back((PendingWrite::Submit(id, Box::new(spec)), until));
-                        self.send_pending_writes();
-                    }
-                    Err((503, _)) => self.refuse(id, RefusalReason::MachineTypesUnknown),
-                    Err((status, reason)) => self.out.respond(id, status, users::error_body(&reason)),
-                }
+                self.answer_active(id, job);
             }
+            Waiter::Submit(id, job, checked) => self.complete_submission(id, job, *checked, until),
             Waiter::Abort(id, job) => {
-                if self.answer_if_ended(id, job) {
-                    return;
-                }
-                if !self.replica_sync.replica.jobs.contains_key(&job) {
-                    return self.out.respond(id, 404, users::error_body("no such job"));
-                }
                 let until = self.now + Micros::millis(3000);
                 let end = jobs::cancelled_value(self.wall_ms, None, false);
                 self.pending.writes.push_back((PendingWrite::Abort(id, job, end), until));
@@ -254,6 +240,45 @@
         }
     }
 
+    /// Goes on with a submission whose job may exist already.
+    fn complete_submission(
+        &mut self,
+        id: RequestId,
+        job: JobId,
+        checked: Result<JobSpec, (u16, String)>,
+        until: Micros,
+    ) {
+        if self.answer_if_ended(id, job) {
+            return;
+        }
+        if !self.lacks_job(job) {
+            return match self.unread_job(job) {
+                Some(unread) => {
+                    self.await_past_job(unread, Waiter::Submit(id, job, Box::new(checked)), until)
+                }
+                None => self.answer_active(id, job),
+            };
+        }
+        // Meanwhile the dependency may have been read.
+        match checked.and_then(|spec| self.validate_submission(spec)) {
+            Ok(spec) => {
+                if let Some(dependency) = self.unknown_dependency(&spec) {
+                    let waiter = Waiter::Submit(id, job, Box::new(Ok(spec)));
+                    return self.await_past_job(dependency, waiter, until);
+                }
+                let until = self.now + Micros::millis(3000);
+                self.pending.writes.push_back((PendingWrite::Submit(id, Box::new(spec)), until));
+                self.send_pending_writes();
+            }
+            Err((503, _)) => self.refuse(id, RefusalReason::MachineTypesUnknown),
+            // A job that was accepted is never refused when it is submitted again.
+            Err(refused) => {
+                let waiter = Waiter::Submit(id, job, Box::new(Err(refused)));
+                self.await_past_job(job, waiter, until)
+            }
+        }
+    }
+
     /// The records of a job that passed `check`.
     fn records_of(&self, spec: &JobSpec) -> Vec<(String, serde_json::Value)> {
         jobs::job_records(spec, self.wall_ms, &self.limits).unwrap_or_default()
@@ -357,10 +382,10 @@
             }
             // The key exists already: the response is the job's current state.
             (PendingWrite::Submit(id, spec), CallResult::Response { status: 409, .. }) => {
-                self.await_read_barrier(Waiter::Poll(id, spec.id), Micros::millis(1500));
+                self.await_read_barrier(Waiter::Poll(id, spec.id), past_jobs::REQUEST_TIMEOUT);
             }
             (PendingWrite::Abort(id, job, _), CallResult::Response { status: 409, .. }) => {
-                self.await_read_barrier(Waiter::Abort(id, job), Micros::millis(1500));
+                self.await_read_barrier(Waiter::Abort(id, job), past_jobs::REQUEST_TIMEOUT);
             }
             (PendingWrite::Extension(t, m, as_leader), CallResult::Response { status: 429, .. }) => {
                 self.pending.write_bucket.take_unconditionally(self.now, 1.0);
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -29,6 +29,8 @@
     TooManyWaiting,
     /// The read barrier did not complete in time.
     ReadBarrierFailed,
+    /// The rows of a job that is not in the state replica could not be read in time.
+    JobUnread,
     /// A write waited too long for its part of the write budget.
     WriteBudget,
     /// The state service did not confirm a write.
@@ -48,7 +50,8 @@
             RefusalReason::StateUnread
             | RefusalReason::StateRefused
             | RefusalReason::TooManyWaiting
-            | RefusalReason::ReadBarrierFailed => "the state service can't be asked",
+            | RefusalReason::ReadBarrierFailed
+            | RefusalReason::JobUnread => "the state service can't be asked",
             RefusalReason::WriteBudget => "the state service is slow",
             RefusalReason::WriteUnconfirmed => "the state service did not confirm it",
             RefusalReason::CancellationUnconfirmed => "not every controller knows of the cancellation yet",
@@ -64,6 +67,7 @@
             RefusalReason::StateRefused => "state_refused",
             RefusalReason::TooManyWaiting => "too_many_waiting",
             RefusalReason::ReadBarrierFailed => "proof_failed",
+            RefusalReason::JobUnread => "job_unread",
             RefusalReason::WriteBudget => "write_budget",
             RefusalReason::WriteUnconfirmed => "write_unconfirmed",
             RefusalReason::CancellationUnconfirmed => "cancellation_unconfirmed",
--- a/crates/core/tests/record_compatibility.rs
+++ b/crates/core/tests/record_compatibility.rs
@@ -318,7 +318,11 @@
 /// Fields, keys and key spaces that later versions may add change nothing.
 #[test]
 fn unknown_fields_keys_and_key_spaces_are_ignored() {
-    let known = [("g/j/j-000412", JOBS[1].1), ("g/x/j-000413", r#"{"end":"done","at":5}"#)];
+    let known = [
+        ("g/j/j-000412", JOBS[1].1),
+        ("g/j/j-000413", JOBS[1].1),
+        ("g/x/j-000413", r#"{"end":"done","at":5}"#),
+    ];
     let later_job = {
         let mut v = parse(JOBS[1].1);
         v["later"] = json!([1]);
--- a/crates/nomad/src/service/mod.rs
+++ b/crates/nomad/src/service/mod.rs
@@ -358,6 +358,11 @@
         }
     }
 
+    fn refers_to(&self, id: JobId) -> bool {
+        let registered = self.jobs_by_native_id.get(&id).and_then(|key| self.jobs.get(key));
+        registered.is_some_and(|k| k.record.native_jobs().any(|native| native == id))
+    }
+
     fn handle(&mut self, ctx: &ExtensionContext<'_>, input: ExtensionInput) -> Vec<ExtensionOutput> {
         self.loading = false;
         match input {
--- a/crates/shell/src/client.rs
+++ b/crates/shell/src/client.rs
@@ -207,11 +207,11 @@
             head = http::parse_response_head(&buf)?;
         }
         if let Some(h) = &head {
-            let body = &buf[h.head_len..];
+            let received = buf.len() - h.head_len;
             let complete = match h.framing {
-                BodyFraming::Length(len) if body.len() >= len => Some(body[..len].to_vec()),
-                BodyFraming::Chunked => http::decode_chunked(body)?.map(|(b, _)| b),
-                BodyFraming::UntilClose if n == 0 => Some(body.to_vec()),
+                BodyFraming::Length(len) if received >= len => Some(take_body(&mut buf, h.head_len, len)),
+                BodyFraming::Chunked => http::decode_chunked(&buf[h.head_len..])?.map(|(b, _)| b),
+                BodyFraming::UntilClose if n == 0 => Some(take_body(&mut buf, h.head_len, received)),
                 _ => None,
             };
             if let Some(body) = complete {
@@ -224,6 +224,13 @@
     }
 }
 
+/// The body of a response in `buf`, without a second copy of it.
+fn take_body(buf: &mut Vec<u8>, head_len: usize, len: usize) -> Vec<u8> {
+    buf.drain(..head_len);
+    buf.truncate(len);
+    std::mem::take(buf)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -477,6 +477,13 @@
         }
     }
 
+    /// Stores keys in the state service as if they had been written long ago.
+    pub fn insert_past_keys(&self, keys: impl IntoIterator<Item = (String, serde_json::Value)>) {
+        if let Ok(mut s) = self.shared.state.lock() {
+            s.insert_past(keys);
+        }
+    }
+
     /// Keys of the state service with a prefix.
     pub fn state_keys(&self, prefix: &str) -> Vec<String> {
         self.shared.state.lock().map(|s| s.keys_with_prefix(prefix)).unwrap_or_default()
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -2,6 +2,7 @@
 use gorseshore_protocol::state::{Event, KeyValue, Listing, Transaction, WatchResponse, Write};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 struct Entry {
     value: Value,
@@ -32,11 +33,22 @@
     rejected_transactions: Vec<String>,
     /// Transactions rejected for exceeding the write rate.
     rate_limited_count: usize,
+    /// Keys on a page of a listing.
+    page_keys: PageKeys,
     /// Keys whose puts are rejected as invalid whatever their value, with the number
     /// of rejections.
     rejected_puts: BTreeMap<String, usize>,
 }
 
+/// Most keys on a page of a listing: few, so that clients have to page.
+struct PageKeys(usize);
+
+impl Default for PageKeys {
+    fn default() -> Self {
+        PageKeys(7)
+    }
+}
+
 /// Outcome of a request: a response, or a watch that waits for events.
 pub enum Outcome {
     /// Status and body.
@@ -169,10 +181,11 @@
         match (method, path.split('?').next().unwrap()) {
             ("GET", "/store") => {
                 let (prefix, from) = (q["prefix"], q.get("from").copied().unwrap_or(""));
-                // At most 7 keys a page, so that clients have to page.
-                let limit = q["limit"].parse::<usize>().unwrap().min(7);
-                let mut rest =
-                    self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from).peekable();
+                let limit = q["limit"].parse::<usize>().unwrap().min(self.page_keys.0);
+                let after = (Bound::Excluded(from.max(prefix)), Bound::Unbounded);
+                let first = self.keys.get_key_value(prefix).filter(|_| prefix > from);
+                let rest = first.into_iter().chain(self.keys.range::<str, _>(after));
+                let mut rest = rest.take_while(|(k, _)| k.starts_with(prefix)).peekable();
                 let page = rest.by_ref().take(limit);
                 let pairs: Vec<KeyValue> = page
                     .map(|(k, e)| KeyValue { key: k.clone(), value: e.value.clone(), revision: e.revision })
@@ -183,6 +196,16 @@
                     json!(Listing { entries: pairs, truncated, revision: self.revision }),
                 )
             }
+            ("GET", p) if p.starts_with("/store/") => match self.keys.get(&p["/store/".len()..]) {
+                Some(e) => {
+                    let key = p["/store/".len()..].to_owned();
+                    Self::json_response(
+                        200,
+                        json!(KeyValue { key, value: e.value.clone(), revision: e.revision }),
+                    )
+                }
+                None => Self::json_response(404, json!({ "ledger": self.revision })),
+            },
             ("GET", "/follow") => {
                 let from: u64 = q["from"].parse().unwrap();
                 if self.is_compacted(from) {
@@ -251,6 +274,17 @@
         }
     }
 
+    /// Stores keys at once, without events, as if they had been written long ago; from now on a
+    /// page of a listing holds as many keys as the protocol allows.
+    pub fn insert_past(&mut self, keys: impl IntoIterator<Item = (String, Value)>) {
+        for (key, value) in keys {
+            self.revision += 1;
+            self.keys.insert(key, Entry { value, revision: self.revision, lease: None });
+        }
+        self.compacted_revision = self.revision;
+        self.page_keys = PageKeys(1000);
+    }
+
     /// Replaces the limits without notifying clients.
     pub fn lower_limits(&mut self, writes_per_s: f64, max_txn_writes: usize, max_value_kib: f64) {
         self.write_budget.0 = writes_per_s;
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -15,6 +15,7 @@
 mod nomad;
 mod nomad_harness;
 mod partial_failures;
+mod past_jobs;
 mod pipelines;
 mod request_validation;
 mod scenarios;
@@ -85,6 +86,8 @@
     long_arrays: usize,
     /// Submits pipelines of jobs beside the other jobs.
     pipelines: bool,
+    /// Settled jobs that a controller holds in memory, if it is not the usual number.
+    settled_jobs_held: Option<usize>,
 }
 
 const SMALL: Size = Size {
@@ -109,6 +112,7 @@
     next_limits: None,
     long_arrays: 0,
     pipelines: false,
+    settled_jobs_held: None,
 };
 /// The small simulation with Nomad clients, and with values so short that one Nomad job takes
 /// several of them.
@@ -1347,6 +1351,9 @@
                 self.process_started_at[n] = now;
                 let steady = self.steady(n);
                 let mut node = Node::new(&platform(n, &self.size), Operator::default(), seed, number, steady);
+                if let Some(held) = self.size.settled_jobs_held.or(past_jobs::settled_jobs_held()) {
+                    node = node.with_settled_jobs_held(held);
+                }
                 if self.size.nomad_clients {
                     node = nomad::with_nomad(node, seed);
                 }
--- a/tests/world/pipelines.rs
+++ b/tests/world/pipelines.rs
@@ -387,7 +387,7 @@
         stages
     }
 
-    fn push_waiting(&mut self, awaits: Vec<usize>, run_us: u64) -> usize {
+    pub fn push_waiting(&mut self, awaits: Vec<usize>, run_us: u64) -> usize {
         let j = self.jobs.len();
         let names: Vec<String> = awaits.iter().map(|needed| format!("j-{needed:06}")).collect();
         let mut body = waiting_body(j, &names, 1, run_us as f64 / S as f64);
