Reads by key: none expires once sent, and no job stays unanswerable

Jobs that a submission under way names stay. A read that was sent now answers whoever waits; reads by key may take 40 instead of 25 percent of the requests. - A job cancelled with its dependency and then by its user is settled, but its row does not say that nothing of it is left: once out of memory it was 503 for ever. An end that the replica has applied and lacks is settled (a_job_that_never_started_is_settled_by_any_end; found by reading).

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -861,7 +861,9 @@
 
     /// Adds a settled job that was read by key: its record and its end. Returns what changed.
     pub fn add_settled(&mut self, id: JobId, record: Option<(&Value, u64)>, end: (&Value, u64)) -> Change {
-        let cancelled = self.record_end(id, JobEnd::parse(end.0), end.1);
+        let mut settled = JobEnd::parse(end.0);
+        settled.fully_stopped = settled.phase == Phase::Cancelled;
+        let cancelled = self.record_end(id, settled, end.1);
         if let Some((value, revision)) = record {
             self.apply(&keys::job(id), Some(value), revision);
         }
--- a/crates/core/src/jobs/dependency_records.rs
+++ b/crates/core/src/jobs/dependency_records.rs
@@ -109,3 +109,24 @@
         assert_eq!(dependent_state(&records), expected, "case {i}");
     }
 }
+
+/// Guards against a job that is never answered again: the row of a user's cancellation of a job that
+/// was cancelled with its dependency before does not say that nothing of it is left.
+#[test]
+fn a_job_that_never_started_is_settled_by_any_end() {
+    let mut replica = StateReplica::default();
+    replica.apply(&keys::job(JobId(1_000_000)), Some(&job_value(&submission(0), 1)), 1);
+    let record = job_value(&submission(1), 2);
+    replica.apply(&keys::job(JobId(412)), Some(&record), 2);
+    replica.apply(&keys::end(JobId(1_000_000)), Some(&json!({"end": "aborted", "at": 3, "gone": true})), 3);
+    let end = json!({"end": "aborted", "at": 4});
+    assert!(!replica.jobs[&JobId(412)].is_settled(), "its end is not recorded");
+    replica.apply(&keys::end(JobId(412)), Some(&end), 4);
+    assert!(replica.jobs[&JobId(412)].is_settled());
+    replica.drop_settled(0, |_| false);
+    assert!(replica.jobs.is_empty(), "{:?}", replica.jobs.keys());
+    // As it is read again by key.
+    replica.add_settled(JobId(412), Some((&record, 2)), (&end, 4));
+    let job = &replica.jobs[&JobId(412)];
+    assert!(job.is_settled() && job.tasks == 3 && job.phase == Phase::Cancelled);
+}
--- a/crates/core/src/node/past_jobs.rs
+++ b/crates/core/src/node/past_jobs.rs
@@ -18,11 +18,11 @@
 pub(super) const SETTLED_JOBS_HELD: usize = 256;
 /// Part of this controller's share of the state service's requests that reads by key may take, in
 /// percent.
-const REQUEST_SHARE_PERCENT: f64 = 25.0;
+const REQUEST_SHARE_PERCENT: f64 = 40.0;
 /// Requests to the state service for one job: its end and its record.
 const READS_PER_JOB: f64 = 2.0;
 const READ_TIMEOUT: Micros = Micros::millis(1200);
-/// How long an answered request may wait for a read.
+/// How long a request may wait until its read is sent.
 pub(super) const REQUEST_TIMEOUT: Micros = Micros::millis(1500);
 /// How often the replica is searched for settled jobs to drop and for missing ones to read.
 const SWEEP_INTERVAL: Micros = Micros::secs(1);
@@ -88,10 +88,11 @@
         self.reads.entry(job).or_default()
     }
 
-    /// Takes out the requests whose time is up, and forgets reads that nobody waits for.
+    /// Takes out the requests whose time is up, and forgets reads that nobody waits for. A read that
+    /// was sent answers whoever waited for it: above the rate limit nobody would be answered else.
     fn take_expired(&mut self, now: Micros) -> Vec<Waiter> {
         let mut expired = Vec::new();
-        for read in self.reads.values_mut() {
+        for read in self.reads.values_mut().filter(|read| !read.sent) {
             let overdue = read.waiters.extract_if(.., |(_, until)| now >= *until);
             expired.extend(overdue.map(|(waiter, _)| waiter));
         }
@@ -101,15 +102,25 @@
         expired
     }
 
-    /// Whether a waiting submission names this job as a dependency.
-    fn is_awaited(&self, job: JobId) -> bool {
-        let mut waiters = self.reads.values().flat_map(|read| &read.waiters);
-        waiters.any(|(waiter, _)| match waiter {
-            Waiter::Submit(_, _, checked) => {
-                matches!(&**checked, Ok(spec) if spec.dependencies.contains(&job))
-            }
-            _ => false,
-        })
+    /// Requests that wait for reads.
+    fn waiters(&self) -> impl Iterator<Item = &Waiter> {
+        self.reads.values().flat_map(|read| &read.waiters).map(|(waiter, _)| waiter)
+    }
+}
+
+/// Dependencies that a waiting submission names.
+fn named_dependencies(waiter: &Waiter) -> &[JobId] {
+    match waiter {
+        Waiter::Submit(_, _, checked) => checked.as_ref().as_ref().map_or(&[], |spec| &spec.dependencies),
+        _ => &[],
+    }
+}
+
+/// Dependencies of a submission that is being written.
+fn written_dependencies(write: &PendingWrite) -> &[JobId] {
+    match write {
+        PendingWrite::Submit(_, spec) => &spec.dependencies,
+        _ => &[],
     }
 }
 
@@ -195,17 +206,36 @@
         self.send_past_job_reads();
     }
 
+    /// Jobs that submissions under way depend on: their answers tell whether these were cancelled.
+    fn dependencies_of_submissions(&self) -> BTreeSet<JobId> {
+        let mut jobs: BTreeSet<JobId> = BTreeSet::new();
+        let waiting = self.pending.waiters.iter().map(|(waiter, _)| waiter).chain(self.past_jobs.waiters());
+        waiting.for_each(|waiter| jobs.extend(named_dependencies(waiter)));
+        self.pending.writes.iter().for_each(|(write, _)| jobs.extend(written_dependencies(write)));
+        for purpose in self.calls.values() {
+            match purpose {
+                CallPurpose::Write(write) => jobs.extend(written_dependencies(write)),
+                CallPurpose::ReadBarrier { waiters, .. } => {
+                    waiters.iter().for_each(|(waiter, _)| jobs.extend(named_dependencies(waiter)))
+                }
+                _ => {}
+            }
+        }
+        jobs
+    }
+
     fn drop_settled_jobs(&mut self, on_workers: &BTreeSet<JobId>) {
+        let submitted = self.dependencies_of_submissions();
         let (leader, extension) = (self.leadership.leader.as_ref(), self.extension.as_ref());
-        let (past_jobs, cancellations) = (&self.past_jobs, &self.cancellations);
+        let cancellations = &self.cancellations;
         let in_use = |id: JobId| {
             on_workers.contains(&id)
                 || leader.is_some_and(|l| l.refers_to(id))
                 || id.is_internal() && extension.is_some_and(|e| e.refers_to(id))
                 || cancellations.is_awaited(id)
-                || past_jobs.is_awaited(id)
+                || submitted.contains(&id)
         };
-        self.replica_sync.replica.drop_settled(past_jobs.held, in_use);
+        self.replica_sync.replica.drop_settled(self.past_jobs.held, in_use);
     }
 
     /// Sends reads within their budget.
@@ -261,9 +291,14 @@
 
     fn past_job_read(&mut self, job: JobId, read: Read) {
         let (record, end) = (read.record.flatten(), read.end.flatten());
-        let settled_end = end.filter(|(value, _)| JobEnd::parse(value).is_settled());
+        let applied = self.replica_sync.replica.applied_revision;
+        let lacked = self.lacks_job(job);
+        // The replica has applied the row of an end that it lacks: the job was settled by then, also
+        // where the row doesn't say so, as for a job that never started.
+        let settled_end = end
+            .filter(|(value, revision)| JobEnd::parse(value).is_settled() || lacked && *revision <= applied);
         if let Some((value, revision)) = &settled_end
-            && self.lacks_job(job)
+            && lacked
         {
             let record = record.as_ref().map(|(value, revision)| (value, *revision));
             let change = self.replica_sync.replica.add_settled(job, record, (value, *revision));
