An age that is older than the clock is no longer a time just before the start

Cause: a restarted controller was told by another one that it knew all cancellations until 12 s ago. The subtraction of that age from the time of the request saturated at the zero of the process's own clock, one second before its start, which is later than the cancellation. So the process renewed leases for cancel_s - lease_s - 1 s from its start.

Micros has no "-" any more. A point in time is moved back by Micros::before, which returns None where it would lie before the clock; durations are subtracted by saturating_sub or since. Wrong beside the one above: a new leader took a contact from before its clock for one at its start (leader/bindings.rs), and assigned tasks to a machine that had been silent for long. The others are deadlines, for which the clock's zero is as past as any time before, or durations.

--- a/crates/core/src/cancellation_enforcer.rs
+++ b/crates/core/src/cancellation_enforcer.rs
@@ -52,7 +52,9 @@
 /// process's monotonic clock may have started after that time, so the deadline is derived from
 /// the time left, not from the time elapsed.
 pub fn cancellation_deadline(ended_ms: u64, wall_ms: u64, cancel: Micros, now: Micros) -> Micros {
-    (now + cancel) - Micros::millis((wall_ms + 1000).saturating_sub(ended_ms))
+    let elapsed = Micros::millis((wall_ms + 1000).saturating_sub(ended_ms));
+    // A deadline from before the clock's zero is past, as the zero is.
+    (now + cancel).before(elapsed).unwrap_or_default()
 }
 
 /// How long before the deadline deletions may begin: 35% of the cancellation time, as in a leader,
@@ -242,7 +244,7 @@
         let mut due_deletions = Vec::new();
         let mut unanswered = 0;
         for (deadline, id, suspect) in order {
-            if now < deadline - probe_before {
+            if now + probe_before < deadline {
                 break;
             }
             let p = self.suspects.entry(id.clone()).or_default();
@@ -259,7 +261,7 @@
                 });
             }
             let had_time_to_answer = p.first_probed.is_some_and(|t| now.since(t) >= PROBE_RETRY_INTERVAL);
-            let may_delete = suspect.may_be_deleted() && now >= deadline - delete_before;
+            let may_delete = suspect.may_be_deleted() && now + delete_before >= deadline;
             unanswered += (may_delete && !had_time_to_answer) as usize;
             if may_delete && had_time_to_answer && p.delete_retry_at.is_none_or(|t| now >= t) {
                 due_deletions.push((deadline, id.clone(), p.delete_retry_at.is_some()));
@@ -331,11 +333,12 @@
             self.recent_deletions.pop_front();
         }
         let new = due.iter().filter(|(.., retry)| !retry).count() + unanswered;
-        let last_call_at = due.first().map_or(now, |(deadline, ..)| *deadline - cancel.scale(5, 100));
+        let until_deadline = due.first().map_or(Micros(0), |(deadline, ..)| deadline.since(now));
+        let until_last_call = until_deadline.saturating_sub(cancel.scale(5, 100));
         let share = (machines / DELETE_BUDGET_DIVISOR).max(2);
         let budget = share.saturating_sub(self.recent_deletions.len());
-        let within_budget = budget + share * (last_call_at.since(now).0 / DELETE_BUDGET_WINDOW.0) as usize;
-        let calls_left = (last_call_at.since(now).0 / MIN_DELETE_INTERVAL.0).max(1) as usize;
+        let within_budget = budget + share * (until_last_call.0 / DELETE_BUDGET_WINDOW.0) as usize;
+        let calls_left = (until_last_call.0 / MIN_DELETE_INTERVAL.0).max(1) as usize;
         let mut allowed = if new <= within_budget { budget } else { budget.max(new.div_ceil(calls_left)) };
         let mut delete = Vec::new();
         for (_, id, retry) in due {
--- a/crates/core/src/controller/sync.rs
+++ b/crates/core/src/controller/sync.rs
@@ -54,7 +54,9 @@
                     last_report: w.heartbeat_seq(),
                     acknowledges_commands: w.acknowledges_commands,
                     last_contact_age: w.last_contact.map(|t| now.since(t)),
-                    preemption_notice: w.preemption_notice.map(|(at, left)| left - now.since(at)),
+                    preemption_notice: w
+                        .preemption_notice
+                        .map(|(at, left)| left.saturating_sub(now.since(at))),
                     needs_new_fencing_token,
                     tasks,
                 }
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -77,7 +77,7 @@
     /// Whether this node may act as leader now: its last confirmed renewal, counted from when it
     /// was sent, is within the lease, less 1% for clock drift and 50 ms for calls in flight.
     pub fn may_lead(&self, now: Micros) -> bool {
-        let usable = self.lease_duration.scale(99, 100) - Micros::millis(50);
+        let usable = self.lease_duration.scale(99, 100).saturating_sub(Micros::millis(50));
         matches!(self.role, Role::Leader { .. }) && now < self.confirmed_sent_at + usable
     }
     /// Whether a renewal is due.
--- a/crates/core/src/leader/autoscaling.rs
+++ b/crates/core/src/leader/autoscaling.rs
@@ -113,7 +113,7 @@
         for id in ids {
             if let Some(m) = self.machines.get_mut(id) {
                 // Due in 0.5 s instead of the usual 3 s.
-                m.delete_sent_at = Some(now - Micros::millis(2500));
+                m.delete_sent_at = now.before(Micros::millis(2500));
             }
         }
     }
@@ -201,7 +201,8 @@
                         r.machine_type, rec.zone, r.state
                     );
                     let mut m = Machine::new(&rec, *size, Stage::Booting, now);
-                    m.stage_since = now - Micros::from_secs_f64(r.age_s);
+                    // One that was rented before the clock began has at least the clock's age.
+                    m.stage_since = now.before(Micros::from_secs_f64(r.age_s)).unwrap_or_default();
                     self.machines.insert(id.clone(), m);
                     if r.state == "failed" {
                         self.delete(&id, "the cloud reports that it failed", now);
@@ -260,7 +261,7 @@
             for (t, (a, s)) in &m.tasks {
                 let Some(r) = self.jobs.get(&t.job) else { continue };
                 let save = Micros::from_secs_f64(r.spec.checkpoint_save_s);
-                let left = until - now;
+                let left = until.since(now);
                 // The cloud may reclaim the machine after half of the announced time.
                 if r.spec.checkpoint_interval_s > 0.0
                     && *s == TaskState::Running
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -60,8 +60,8 @@
         }
         for (id, ago, report) in sync.contacts {
             if let Some(m) = self.machines.get_mut(id) {
-                m.record_contact(now - *ago, from, *report);
-                m.holder_reported_unchanged(from, now - *ago, now);
+                m.record_contact(now.before(*ago), from, *report);
+                m.holder_reported_unchanged(from, now.before(*ago), now);
             }
         }
         for s in sync.unleased_reports {
@@ -126,7 +126,7 @@
         // A heartbeat counts as contact under any token: a holder that was partitioned has not
         // received its newest grant, and its machines are not dead.
         if let Some(ago) = s.last_contact_age {
-            m.record_contact(now - ago, from, s.last_report);
+            m.record_contact(now.before(ago), from, s.last_report);
         }
         if m.holder != Some(from) || m.fencing_token != s.fencing_token {
             return;
@@ -135,7 +135,7 @@
         m.needs_new_token = s.needs_new_fencing_token;
         let confirmed = s.seen_fencing_token >= m.fencing_token;
         if let Some(ago) = s.last_contact_age {
-            m.command_reachability.holder_reported(s.acknowledges_commands, now - ago, now);
+            m.command_reachability.holder_reported(s.acknowledges_commands, now.before(ago), now);
         }
         let newly_confirmed = confirmed && !m.confirmed;
         if newly_confirmed {
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -243,7 +243,8 @@
             // A holder that was out of contact first gets 3 s to report its machines.
             let contact = m.holder.map_or(Micros(0), |h| self.nodes[h.0 as usize].contact_since);
             let limit = self.config.operator.silent_delete;
-            let reported = (contact + Micros::secs(3)) - limit;
+            // An earlier one than the clock's zero bounds nothing.
+            let reported = (contact + Micros::secs(3)).before(limit).unwrap_or_default();
             // The time also starts again with a new holder: without that, a day's run deleted a
             // hundred machines at the moment they were granted to their zone's controller. So
             // it does when the network path to the holder, or to any controller, has just
@@ -403,9 +404,12 @@
     /// controllers have to meet the deadline (`crate::cancellation_enforcer`).
     fn deletion_due(&self, by: Micros, last: u64, min_wait: Micros) -> Micros {
         let reports_in = self.term_start + Micros::secs(4);
-        let last = by - self.config.cancel_timeout.scale(100 - last, 100);
+        // A share of the time allowed that ended before the clock's zero is past, as the zero is.
+        let before_end =
+            |percent| by.before(self.config.cancel_timeout.scale(percent, 100)).unwrap_or_default();
+        let last = before_end(100 - last);
         let wait = if last >= self.term_start + min_wait { reports_in.min(last) } else { reports_in };
-        wait.max(by - self.config.cancel_timeout.scale(35, 100))
+        wait.max(before_end(35))
     }
 
     pub(super) fn delete(&mut self, id: &MachineId, why: &str, now: Micros) {
--- a/crates/core/src/leader/command_reachability.rs
+++ b/crates/core/src/leader/command_reachability.rs
@@ -52,15 +52,17 @@
         }
     }
 
-    /// Its holder reports the heartbeat that it received at `at`.
-    pub(super) fn holder_reported(&mut self, acknowledges_commands: bool, at: Micros, now: Micros) {
+    /// Its holder reports the heartbeat that it received at `at`; `None` if that was before this
+    /// process's clock began.
+    pub(super) fn holder_reported(&mut self, acknowledges_commands: bool, at: Option<Micros>, now: Micros) {
         self.acknowledges_commands = acknowledges_commands;
-        if acknowledges_commands {
-            self.acknowledged(at, now);
-        } else {
+        match at {
+            Some(at) if acknowledges_commands => self.acknowledged(at, now),
+            // Every acknowledgement that this process knows of is later.
+            None if acknowledges_commands => {}
             // Counts from the arrival of the heartbeat, so that an acknowledgement that arrives
             // before the holder's report is processed still ends it.
-            self.unacknowledged_since.get_or_insert(at);
+            _ => _ = self.unacknowledged_since.get_or_insert(at.unwrap_or_default()),
         }
     }
 
@@ -108,8 +110,12 @@
 
 impl Machine {
     /// Its holder reports a heartbeat that changed nothing.
-    pub(super) fn holder_reported_unchanged(&mut self, from: NodeId, at: Micros, now: Micros) {
-        if self.holder == Some(from) && self.confirmed && self.command_reachability.acknowledges_commands {
+    pub(super) fn holder_reported_unchanged(&mut self, from: NodeId, at: Option<Micros>, now: Micros) {
+        if let Some(at) = at
+            && self.holder == Some(from)
+            && self.confirmed
+            && self.command_reachability.acknowledges_commands
+        {
             self.command_reachability.acknowledged(at, now);
         }
     }
@@ -180,16 +186,16 @@
         // (event, its time in seconds; unacknowledged after it, trusted again at second)
         type Step = (fn(&mut CommandReachability, Micros), u64, bool, u64);
         let steps: [Step; 9] = [
-            (|reachability, t| reachability.holder_reported(true, t, t), 1, false, 0),
+            (|reachability, t| reachability.holder_reported(true, Some(t), t), 1, false, 0),
             (|reachability, t| reachability.contacted_by_other(false, true, t), 5, true, 0),
             // The holder reports a heartbeat from before the episode.
-            (|reachability, t| reachability.holder_reported(true, Micros::secs(4), t), 6, true, 0),
-            (|reachability, t| reachability.holder_reported(true, t, t), 9, false, 0),
-            (|reachability, t| reachability.holder_reported(false, t, t), 20, true, 0),
+            (|reachability, t| reachability.holder_reported(true, Some(Micros::secs(4)), t), 6, true, 0),
+            (|reachability, t| reachability.holder_reported(true, Some(t), t), 9, false, 0),
+            (|reachability, t| reachability.holder_reported(false, Some(t), t), 20, true, 0),
             (|reachability, t| reachability.contacted_by_other(true, true, t), 30, false, 34),
-            (|reachability, t| reachability.holder_reported(false, t, t), 40, true, 34),
+            (|reachability, t| reachability.holder_reported(false, Some(t), t), 40, true, 34),
             (|reachability, t| reachability.contacted_by_other(false, false, t), 45, true, 34),
-            (|reachability, t| reachability.holder_reported(true, t, t), 50, false, 58),
+            (|reachability, t| reachability.holder_reported(true, Some(t), t), 50, false, 58),
         ];
         let mut reachability = CommandReachability::new(s(0));
         for (i, (step, at, unacknowledged_since, trusted)) in steps.into_iter().enumerate() {
--- a/crates/core/src/leader/machine.rs
+++ b/crates/core/src/leader/machine.rs
@@ -151,12 +151,12 @@
         }
         report == self.newest_heartbeat && self.newest_heartbeat_from == Some(from)
     }
-    /// Records that a controller received a heartbeat at `at`. From its holder, that proves that
-    /// the network path between them is open. Copies of heartbeats prove nothing.
-    pub(super) fn record_contact(&mut self, at: Micros, from: NodeId, report: HeartbeatSeq) {
-        if !self.is_new_heartbeat(report, from) {
-            return;
-        }
+    /// Records that a controller received a heartbeat at `at`; `None` if that was before this
+    /// process's clock began. From its holder, that proves that the network path between them is
+    /// open. Copies of heartbeats prove nothing.
+    pub(super) fn record_contact(&mut self, at: Option<Micros>, from: NodeId, report: HeartbeatSeq) {
+        let is_new = self.is_new_heartbeat(report, from);
+        let Some(at) = at.filter(|_| is_new) else { return };
         if self.holder == Some(from) {
             self.holder_contact = self.holder_contact.max(at);
         }
@@ -191,3 +191,30 @@
             && self.preemption_at.is_none()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a contact from before this process's clock began that counts as one at its
+    /// start: a new leader assigned tasks to machines that had been silent for long.
+    #[test]
+    fn a_contact_from_before_the_clock_is_no_recent_one() {
+        let record = MachineRecord {
+            machine_type: "small".into(),
+            zone: "east".into(),
+            spot: false,
+            addr: "127.0.0.1:1".into(),
+        };
+        // (age of the contact in seconds, time of the contact)
+        let cases = [(1, Some(Micros::secs(1))), (2, Some(Micros(0))), (20, None)];
+        for (age, expected) in cases {
+            let now = Micros::secs(2);
+            let mut m = Machine::new(&record, Resources::default(), Stage::Up, now);
+            let report = HeartbeatSeq { agent_epoch: 1, sequence: 1 };
+            m.record_contact(now.before(Micros::secs(age)), NodeId(0), report);
+            assert_eq!(m.last_contact, expected, "{age}");
+            assert_eq!(m.newest_heartbeat, report, "{age}");
+        }
+    }
+}
--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -801,7 +801,7 @@
         b.leader.jobs.remove(&JobId(1));
         b.leader.job_changed(JobId(1), &b.state_replica, b.now);
         let at = b.now + Micros::secs(passed);
-        b.leader.recent_spot_rentals.push_back((at - Micros::secs(10), spot_rented));
+        b.leader.recent_spot_rentals.push_back((at.before(Micros::secs(10)).unwrap(), spot_rented));
         // A rental was just requested, and refused.
         b.leader.refused_offers.insert(("big".into(), "east".into(), true), at);
         b.leader.autoscale(&[flavor(Some(0.3))], at);
@@ -1051,7 +1051,7 @@
         ("an earlier process of B knew", nothing, &earlier, None, Micros(0), true),
         ("B's process has exited", nothing, &no_controller, Some(B), Micros(0), false),
         ("another controller's process has exited", nothing, &no_controller, Some(A), Micros(0), true),
-        ("B's lease may run", nothing, &no_controller, None, lease - Micros::millis(1), true),
+        ("B's lease may run", nothing, &no_controller, None, lease.saturating_sub(Micros::millis(1)), true),
         ("B's lease has expired", nothing, &no_controller, None, lease, false),
         (
             "refused",
--- a/crates/core/src/node/cancellation_knowledge.rs
+++ b/crates/core/src/node/cancellation_knowledge.rs
@@ -43,7 +43,7 @@
     /// Whether a lease that is renewed at `now` ends within the cancellation time of every
     /// cancellation that is not known here.
     fn allows_renewal(&self, now: Micros, lease: Micros, cancel_timeout: Micros) -> bool {
-        let may_renew_for = cancel_timeout - lease;
+        let may_renew_for = cancel_timeout.saturating_sub(lease);
         self.known_until.is_some_and(|t| now.since(t) + RENEWAL_MARGIN <= may_renew_for)
     }
 }
@@ -104,7 +104,10 @@
             return;
         }
         self.cancellations_received(from, cancellations);
-        self.cancellation_knowledge.advance(request.sent - known_until_age);
+        // Knowledge that is older than this process's clock has no time here.
+        if let Some(known_until) = request.sent.before(known_until_age) {
+            self.cancellation_knowledge.advance(known_until);
+        }
         if let Some(peer) = self.peers.states.get_mut(from.0 as usize) {
             // An older answer leaves a gap, in which others may have confirmed cancellations.
             peer.told_cancellations |= known_until_age < PEER_TIMEOUT;
--- a/crates/core/src/node/messaging.rs
+++ b/crates/core/src/node/messaging.rs
@@ -245,8 +245,8 @@
         if !(force || first || self.controller.may_sync(pause, self.now)) {
             return;
         }
-        let recent = self.now - Micros::millis(2500);
-        self.deferred_heartbeats.unleased_reports.retain(|_, (t, ..)| *t > recent);
+        let now = self.now;
+        self.deferred_heartbeats.unleased_reports.retain(|_, (t, ..)| now.since(*t) < Micros::millis(2500));
         let unleased_reports =
             self.deferred_heartbeats.unleased_reports.iter().map(|(id, (_, report, probed))| {
                 UnleasedReport { id: id.clone(), report: *report, probed: *probed }
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -399,7 +399,8 @@
             (w, CallResult::Response { status: 429, .. }) => {
                 let pause = Micros::millis(100 + self.rng.u64(0..100));
                 self.pending.write_bucket.take_unconditionally(self.now, 1.0);
-                self.pending.writes.push_back((w, self.now + Micros::millis(2000) - pause));
+                let until = self.now + Micros::millis(2000).saturating_sub(pause);
+                self.pending.writes.push_back((w, until));
             }
             (PendingWrite::Submit(id, _) | PendingWrite::Abort(id, ..), _) => {
                 self.refuse(id, RefusalReason::WriteUnconfirmed);
--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -1,10 +1,13 @@
 //! Newtypes for ids, times and resource amounts.
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::ops::{Add, Sub};
+use std::ops::Add;
 use std::rc::Rc;
 use std::{fmt, io};
 
 /// Whole microseconds: a point on a controller's monotonic clock, or a duration.
+///
+/// A process's clock starts near zero, so an age that comes from another process or from a wall clock
+/// may reach back to before it, where no `Micros` is. There is no `-`: a caller says what is meant.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
 )]
@@ -31,6 +34,14 @@
     pub fn since(self, earlier: Micros) -> Micros {
         Micros(self.0.saturating_sub(earlier.0))
     }
+    /// The point in time that is `age` before this one; `None` if it lies before the clock's zero.
+    pub fn before(self, age: Micros) -> Option<Micros> {
+        self.0.checked_sub(age.0).map(Micros)
+    }
+    /// The difference of two durations; zero if `other` is the longer one.
+    pub fn saturating_sub(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_sub(other.0))
+    }
     /// Multiplies by the fraction `num / den`; a zero `den` counts as 1.
     pub fn scale(self, num: u64, den: u64) -> Micros {
         Micros((self.0 as u128 * num as u128 / den.max(1) as u128) as u64)
@@ -42,12 +53,6 @@
         Micros(self.0.saturating_add(o.0))
     }
 }
-impl Sub for Micros {
-    type Output = Micros;
-    fn sub(self, o: Micros) -> Micros {
-        Micros(self.0.saturating_sub(o.0))
-    }
-}
 
 /// Number of a job; its text form is `j-000412`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
@@ -222,6 +227,18 @@
 mod tests {
     use super::*;
 
+    /// Guards against an age that is older than the clock and becomes the clock's zero.
+    #[test]
+    fn no_point_in_time_lies_before_the_clock() {
+        let s = Micros::secs;
+        // (now, age, point in time)
+        let cases = [(5, 2, Some(s(3))), (5, 5, Some(s(0))), (5, 6, None), (0, 0, Some(s(0))), (0, 1, None)];
+        for (now, age, expected) in cases {
+            assert_eq!(s(now).before(s(age)), expected, "{now} {age}");
+        }
+        assert_eq!(s(1).before(Micros(u64::MAX)), None);
+    }
+
     #[test]
     fn only_canonical_job_ids_parse() {
         let cases = [
--- a/tests/world/lease_renewals.rs
+++ b/tests/world/lease_renewals.rs
@@ -7,14 +7,14 @@
 
 /// Intervals that a deployment sets for its workers, in milliseconds.
 #[derive(Clone, Copy, Debug)]
-struct WorkerTiming {
+pub struct WorkerTiming {
     report: u64,
     lease: u64,
     cancel: u64,
 }
 
 impl WorkerTiming {
-    fn size(self, nodes: usize) -> Size {
+    pub fn size(self, nodes: usize) -> Size {
         Size {
             nodes,
             report_interval: self.report * MS,
@@ -26,7 +26,7 @@
 }
 
 /// Leases of about a third to nine tenths of the time that a cancellation may take.
-const TIMINGS: [WorkerTiming; 6] = [
+pub const TIMINGS: [WorkerTiming; 6] = [
     WorkerTiming { report: 2_000, lease: 12_000, cancel: 42_000 },
     WorkerTiming { report: 2_500, lease: 14_000, cancel: 34_000 },
     WorkerTiming { report: 5_000, lease: 26_500, cancel: 46_500 },
@@ -36,21 +36,21 @@
 ];
 
 /// Result of a play.
-struct Outcome {
+pub struct Outcome {
     violation: Option<String>,
     /// A user received a confirmation of a cancellation; otherwise the play tests nothing.
     confirmed: bool,
 }
 
 impl Outcome {
-    fn new(w: &World, confirmed: bool) -> Outcome {
+    pub fn new(w: &World, confirmed: bool) -> Outcome {
         Outcome { violation: w.violations.first().cloned(), confirmed }
     }
 }
 
 /// Plays the first `count` seeds, or those of `RENEWAL_SEEDS`; none may break a rule, and a user must
 /// receive a confirmation in three quarters of them.
-fn check_plays<P: std::fmt::Debug>(count: u64, from_seed: fn(u64) -> P, play: fn(&P) -> Outcome) {
+pub fn check_plays<P: std::fmt::Debug>(count: u64, from_seed: fn(u64) -> P, play: fn(&P) -> Outcome) {
     let (mut plays, mut confirmed, mut failed) = (0, 0, Vec::new());
     for seed in seeds("RENEWAL_SEEDS", 0, count) {
         let parameters = from_seed(seed);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -6,6 +6,7 @@
 mod consistency;
 mod fast_restarts;
 mod fleet;
+mod knowledge_gaps;
 mod lease_renewals;
 mod limits;
 mod load;
