World: users who wait for an answer cancel as soon as they have it

A user with a question under way doesn't cancel until it is answered, since the answers could overtake each other; then it cancelled at its next turn, 2 to 5 s after the question, which was often after the outage that the scene is about. So a check of two tests in meetings.rs (six users must have had a confirmation before the outage) failed by how many users had questions under way: traced before, 5 and 6 had asked. Now such a user cancels when its answer arrives, at the controllers that the scene names. The check and its bound stay as they are.

--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1036,6 +1036,7 @@
                 }
             }
         }
+        self.request_postponed_cancellations();
     }
 
     /// Checks an answer that a user receives about a job, to a request sent at `began`. Answers to
--- a/tests/world/scenarios.rs
+++ b/tests/world/scenarios.rs
@@ -168,6 +168,8 @@
     pub first_leader: Option<u64>,
     pub fast_boots: bool,
     next_leader_lifetime: Option<u64>,
+    /// Jobs whose users wait for an answer before they cancel, and the controllers they will ask.
+    postponed_cancellations: Vec<(usize, Vec<usize>)>,
     pub cancel_at_end_until: u64,
     /// Tasks that ran at the start of the scenario, and users with a confirmed cancellation before
     /// the first outage.
@@ -322,20 +324,11 @@
             }
             Cancel(w) => {
                 for j in (0..self.jobs.len()).step_by(2) {
-                    // An answer in flight to a user may be overtaken by the answer to the
-                    // cancellation: a user with a pending request cancels after its answer.
-                    let waits =
-                        |a: &Requester| matches!(a, Requester::Poll(k) | Requester::Submit(k) if *k == j);
-                    if self.pending_requests.values().any(waits) || !self.jobs[j].accepted {
+                    if self.has_open_request(j) || !self.jobs[j].accepted {
                         self.jobs[j].abort_at = self.now;
-                        continue;
-                    }
-                    let job = &mut self.jobs[j];
-                    (job.abort_requested, job.abort_at) = (true, self.now);
-                    job.next_request_at = self.now + S;
-                    let path = format!("/submissions/j-{j:06}/abort");
-                    for n in controllers(w) {
-                        self.request(n, "POST", path.clone(), Vec::new(), Requester::Abort(j));
+                        self.faults.postponed_cancellations.push((j, controllers(w)));
+                    } else {
+                        self.request_cancellation(j, controllers(w));
                     }
                 }
             }
@@ -409,6 +402,39 @@
         }
     }
 
+    /// Whether an answer may be in flight to a job's user. It may be overtaken by the answer to a
+    /// cancellation, so a user with a pending request cancels after its answer.
+    fn has_open_request(&self, j: usize) -> bool {
+        let concerns_job =
+            |requester: &Requester| matches!(requester, Requester::Poll(k) | Requester::Submit(k) if *k == j);
+        self.pending_requests.values().any(concerns_job)
+    }
+
+    /// A job's user asks these controllers to cancel it.
+    fn request_cancellation(&mut self, j: usize, controllers: Vec<usize>) {
+        let job = &mut self.jobs[j];
+        (job.abort_requested, job.abort_at) = (true, self.now);
+        job.next_request_at = self.now + S;
+        for n in controllers {
+            let path = format!("/submissions/j-{j:06}/abort");
+            self.request(n, "POST", path, Vec::new(), Requester::Abort(j));
+        }
+    }
+
+    /// Users who waited for an answer and want to cancel do it now.
+    pub fn request_postponed_cancellations(&mut self) {
+        for (j, controllers) in std::mem::take(&mut self.faults.postponed_cancellations) {
+            if self.jobs[j].abort_requested {
+                continue;
+            }
+            if self.has_open_request(j) || !self.jobs[j].accepted {
+                self.faults.postponed_cancellations.push((j, controllers));
+            } else {
+                self.request_cancellation(j, controllers);
+            }
+        }
+    }
+
     /// Whether a machine runs a task of a job that `Cancel` cancels.
     pub fn runs_cancelled_task(m: &Machine) -> bool {
         m.tasks.iter().any(|t| t.is_running() && Self::job_of(&t.name).0.is_multiple_of(2))
