Contact with other controllers is no knowledge of what was cancelled

Cause: a process that had once read the state and was in contact with most of the controllers counted as knowing every cancellation up to now. After a gap without contact that is wrong: those who confirmed one in the gap may have restarted since, knowing nothing. It renewed leases of workers with cancelled tasks. One-way contact has the same effect: others confirm without waiting for a process that they don't hear.

Now contact moves nothing. A process that doesn't read the state asks at each ping (KnowledgeRequest). A report holds all cancellations that its sender knows and the other hasn't acknowledged, the age of the sender's own knowledge, and how long its process has been running: it remembers all since. Up to when a majority is covered, this process knows everything; all is dated by the sending of the request. Both messages go only to processes that announce in their pings that they understand them; production takes the announcement for nothing.

--- a/crates/core/src/node/cancellations.rs
+++ b/crates/core/src/node/cancellations.rs
@@ -196,13 +196,17 @@
         self.cancellations.merge(&record, self.members.names.len(), self.now);
     }
 
-    /// All cancellations whose tasks may not be gone, in the state replica or by notification. From
-    /// now on they are tracked.
-    pub(super) fn unsettled_cancellations(&mut self) -> Vec<Cancellation> {
+    /// All cancellations whose tasks may not be gone, in the state replica or by notification, but for
+    /// those that this process of another controller has acknowledged. From now on they are tracked.
+    pub(super) fn unacknowledged_cancellations(&mut self, by: NodeId, incarnation: u64) -> Vec<Cancellation> {
         let jobs = &self.replica_sync.replica.jobs;
         let unsettled: Vec<JobId> = jobs.iter().filter(|(_, j)| j.is_stopping()).map(|(id, _)| *id).collect();
         unsettled.into_iter().for_each(|id| self.track_cancellation(id));
-        self.cancellations.jobs.values().map(|tracked| tracked.record.clone()).collect()
+        let records = self.cancellations.jobs.values().map(|tracked| &tracked.record);
+        let acknowledged = |c: &Cancellation| {
+            c.acknowledged_by.get(by.0 as usize).is_some_and(|known| *known >= incarnation)
+        };
+        records.filter(|c| !acknowledged(c)).cloned().collect()
     }
 
     /// Whether a cancellation may be confirmed to a client.
--- a/crates/core/src/node/control_loop.rs
+++ b/crates/core/src/node/control_loop.rs
@@ -1,6 +1,7 @@
 //! Periodic work: the state replica's list and watch, the election, the leader's work.
 use super::*;
 use crate::leader::changes::{Changes, RecordContext};
+use crate::peer::KNOWLEDGE_REPORTS;
 use crate::placement_log::LogUpdate;
 
 /// Size limit of a transaction with several records, in bytes; the state service accepts 64 KiB.
@@ -39,6 +40,7 @@
             let contacts: Vec<NodeId> = (0..self.peers.states.len())
                 .map(|i| NodeId(i as u8))
                 .filter(|n| *n == self.members.own_id || self.in_contact(*n, PEER_TIMEOUT))
+                .chain([KNOWLEDGE_REPORTS])
                 .collect();
             let queued = self.pending.writes.len() as u32;
             let others = self.peers.queued(self.now);
--- a/crates/core/src/node/membership.rs
+++ b/crates/core/src/node/membership.rs
@@ -13,20 +13,11 @@
     pub loaded: bool,
     /// It reaches the state service.
     pub state_ok: bool,
-    /// Its process has told this one of all cancellations that it knew.
-    pub told_cancellations: bool,
     pub contacts: Vec<NodeId>,
     /// Clients' writes that wait there.
     pub queued: u32,
 }
 
-impl Peer {
-    /// Whether it has read the state, and this process knows the cancellations that it knew.
-    pub fn has_informed(&self) -> bool {
-        self.loaded && self.told_cancellations
-    }
-}
-
 /// All controllers, including this one.
 #[derive(Debug)]
 pub(super) struct Peers {
--- a/crates/core/src/node/messaging.rs
+++ b/crates/core/src/node/messaging.rs
@@ -109,13 +109,16 @@
                     p.contacts = receives_from;
                     p.queued = queued_writes;
                 }
-                self.request_cancellations(from);
+                self.request_knowledge_report(from);
             }
             Message::CancellationsRequest(request) => self.send_cancellations_snapshot(from, request),
-            Message::CancellationsSnapshot { request, known_until_age, cancellations } => {
-                self.cancellations_snapshot_received(from, request, known_until_age, &cancellations);
+            Message::KnowledgeRequest(request) => self.send_knowledge_report(from, request),
+            Message::KnowledgeReport { request, memory_age, known_until_age, cancellations } => {
+                self.knowledge_report_received(from, request, memory_age, known_until_age, &cancellations);
+            }
+            Message::CancellationsSnapshot { cancellations: all, .. } | Message::Cancellations(all) => {
+                self.cancellations_received(from, &all);
             }
-            Message::Cancellations(all) => self.cancellations_received(from, &all),
             Message::CancellationsAck { jobs, leading_term } => {
                 self.cancellations_acknowledged(from, incarnation, &jobs, leading_term);
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod deferred_heartbeats;
 mod extension_host;
 mod heartbeats;
+mod knowledge_reports;
 mod leadership;
 mod membership;
 mod messaging;
@@ -202,7 +203,7 @@
             limits,
             now,
             started_at: now,
-            cancellation_knowledge: CancellationKnowledge::default(),
+            cancellation_knowledge: CancellationKnowledge::new(members.own_id, members.names.len(), now),
             placements_known_at: now,
             wall_ms: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -271,10 +272,7 @@
             Input::Peer { from, incarnation, message } => {
                 if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
                     p.last_contact = Some(self.now);
-                    if incarnation > p.incarnation {
-                        p.incarnation = incarnation;
-                        p.told_cancellations = false;
-                    }
+                    p.incarnation = p.incarnation.max(incarnation);
                 }
                 self.receive_message(from, incarnation, message);
             }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -14,6 +14,10 @@
 /// Longest body accepted in a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
+/// Listed in a ping by a version that understands `Message::KnowledgeRequest`. No controller has this
+/// number.
+pub const KNOWLEDGE_REPORTS: NodeId = NodeId(u8::MAX);
+
 /// State of a task on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum TaskState {
@@ -172,7 +176,8 @@
         /// The sender reaches the state service.
         state_reachable: bool,
         /// Controllers from which the sender receives messages directly. A version that understands
-        /// `CancellationsRequest` lists itself as well.
+        /// `CancellationsRequest` lists itself as well, and one that understands `KnowledgeRequest`
+        /// lists `KNOWLEDGE_REPORTS`.
         receives_from: Vec<NodeId>,
         /// Users' changes that wait in the sender's write budget.
         queued_writes: u32,
@@ -285,10 +290,9 @@
     },
     /// To the new leader: the complete placement log of that term.
     PlacementLogSnapshot(LogUpdate),
-    /// From a process that has not read the state: requests all cancellations that the receiver
-    /// knows. Sent only to a controller whose version understands it.
+    /// From an earlier version: requests all cancellations that the receiver knows.
     CancellationsRequest(RequestStamp),
-    /// The answer: all cancellations that the sender knows and whose tasks may not be gone.
+    /// The answer to it: all cancellations that the sender knows and whose tasks may not be gone.
     CancellationsSnapshot {
         /// The request.
         request: RequestStamp,
@@ -297,6 +301,22 @@
         /// Cancellations.
         cancellations: Vec<Cancellation>,
     },
+    /// From a process that can't read the state: requests the receiver's report of the cancellations
+    /// that it knows. Sent only to a controller whose version understands it.
+    KnowledgeRequest(RequestStamp),
+    /// The answer to it.
+    KnowledgeReport {
+        /// The request.
+        request: RequestStamp,
+        /// Time since the sender's process started: it has kept what it acknowledged since.
+        memory_age: Micros,
+        /// The sender knows every cancellation that was confirmed until this long ago; `None` if there
+        /// is no such time.
+        known_until_age: Option<Micros>,
+        /// All cancellations that the sender knows, whose tasks may not be gone, and that the receiver
+        /// has not acknowledged.
+        cancellations: Vec<Cancellation>,
+    },
 }
 
 /// A frame's content.
--- a/crates/core/tests/wire_compatibility.rs
+++ b/crates/core/tests/wire_compatibility.rs
@@ -120,6 +120,17 @@
          0000000000007b2e5bda9a0100001e140000000000000000030000000000000000000000080706050403020109\
          00000000000000",
     ),
+    ("knowledge request", "1a000000050308070605040302010e090000000000000060e3160000000000"),
+    (
+        "knowledge report",
+        "65000000050308070605040302010f090000000000000060e3160000000000c0cf6a00000000000120a107000000\
+         0000010000009c010000000000007b2e5bda9a0100001e1400000000000000000300000000000000000000000807\
+         0605040302010900000000000000",
+    ),
+    (
+        "knowledge report, nothing known",
+        "27000000050308070605040302010f090000000000000060e3160000000000c0cf6a00000000000000000000",
+    ),
 ];
 
 fn task(job: u64, index: u32) -> TaskId {
@@ -322,7 +333,7 @@
         ("placement log ack", Message::PlacementLogAck { term: 7, seq: 1000 }),
         ("placement log request", Message::PlacementLogRequest { term: 6 }),
         ("placement log snapshot", Message::PlacementLogSnapshot(log_update(0))),
-        // Not in production; sent only to processes that list themselves in their pings.
+        // Not in production; sent only to processes that have announced that they know it.
         ("cancellations request", Message::CancellationsRequest(request_stamp())),
         (
             "cancellations snapshot",
@@ -332,6 +343,25 @@
                 cancellations: vec![cancellation(None, false, vec![0, INCARNATION, 9])],
             },
         ),
+        ("knowledge request", Message::KnowledgeRequest(request_stamp())),
+        (
+            "knowledge report",
+            Message::KnowledgeReport {
+                request: request_stamp(),
+                memory_age: Micros::secs(7),
+                known_until_age: Some(Micros::millis(500)),
+                cancellations: vec![cancellation(None, false, vec![0, INCARNATION, 9])],
+            },
+        ),
+        (
+            "knowledge report, nothing known",
+            Message::KnowledgeReport {
+                request: request_stamp(),
+                memory_age: Micros::secs(7),
+                known_until_age: None,
+                cancellations: vec![],
+            },
+        ),
     ]
 }
 
@@ -375,9 +405,11 @@
         Message::PlacementLogSnapshot(_) => 11,
         Message::CancellationsRequest(_) => 12,
         Message::CancellationsSnapshot { .. } => 13,
+        Message::KnowledgeRequest(_) => 14,
+        Message::KnowledgeReport { .. } => 15,
     }
 }
-const MESSAGE_TYPES: usize = 14;
+const MESSAGE_TYPES: usize = 16;
 
 #[test]
 fn the_table_has_all_message_types() {
--- a/tests/world/lease_renewals.rs
+++ b/tests/world/lease_renewals.rs
@@ -8,9 +8,9 @@
 /// Intervals that a deployment sets for its workers, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerTiming {
-    report: u64,
-    lease: u64,
-    cancel: u64,
+    pub report: u64,
+    pub lease: u64,
+    pub cancel: u64,
 }
 
 impl WorkerTiming {
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -4,6 +4,7 @@
 mod balanced_users;
 mod cancelled;
 mod consistency;
+mod covered_renewals;
 mod fast_restarts;
 mod fleet;
 mod knowledge_gaps;
@@ -599,6 +600,7 @@
                 Output::StreamOpen(..) | Output::StreamChunk(..) | Output::StreamClose(_) => {}
                 Output::Send { to, message } => {
                     let to = to.0 as usize;
+                    let Some(message) = self.outgoing_message(n, to, message) else { continue };
                     let partition_end = self.peer_partition_end(n, to);
                     let d = self.delay();
                     let late = if partition_end > 0 { partition_end - now } else { 0 };
--- a/tests/world/scenarios.rs
+++ b/tests/world/scenarios.rs
@@ -1,6 +1,7 @@
 //! Scenarios: actions at set times in a simulation in which long jobs run, and what must hold
 //! whatever the actions are.
 use super::*;
+use gorseshore_core::peer::{KNOWLEDGE_REPORTS, Message};
 use std::collections::BTreeSet;
 
 /// The controllers that an action affects: the leader at the start of the scenario, others by their
@@ -167,6 +168,10 @@
     /// Incarnation number of the leader at the start of the scenario.
     pub first_leader: Option<u64>,
     pub fast_boots: bool,
+    /// Messages of each controller to the others are lost until then.
+    pub mute_until: Vec<u64>,
+    /// Controllers of a version that has no knowledge reports.
+    pub earlier_version: Vec<bool>,
     next_leader_lifetime: Option<u64>,
     /// Jobs whose users wait for an answer before they cancel, and the controllers they will ask.
     postponed_cancellations: Vec<(usize, Vec<usize>)>,
@@ -187,6 +192,8 @@
         ScenarioFaults {
             paused_until: vec![0; nodes],
             answers_lost_until: vec![0; nodes],
+            mute_until: vec![0; nodes],
+            earlier_version: vec![false; nodes],
             ..ScenarioFaults::default()
         }
     }
@@ -255,6 +262,27 @@
         }
     }
 
+    /// What leaves a controller of a message to another one: nothing if it is mute, and nothing that
+    /// its version doesn't know.
+    pub fn outgoing_message(&mut self, from: usize, to: usize, mut message: Message) -> Option<Message> {
+        if self.faults.mute_until[from] > self.now {
+            return None;
+        }
+        let is_later = matches!(message, Message::KnowledgeRequest(_) | Message::KnowledgeReport { .. });
+        if is_later && self.faults.earlier_version[from] {
+            return None;
+        }
+        if is_later && self.faults.earlier_version[to] {
+            self.report_violation("unknown_message", format!("from {from} to {to}"));
+        }
+        if let Message::Ping { receives_from, .. } = &mut message
+            && self.faults.earlier_version[from]
+        {
+            receives_from.retain(|n| *n != KNOWLEDGE_REPORTS);
+        }
+        Some(message)
+    }
+
     pub fn cannot_send(&self, name: &str) -> bool {
         self.faults.cannot_send_until.get(name).is_some_and(|t| *t > self.now)
     }
