Having read the state is no knowledge of what was cancelled since

Cause: a process that has not read the state judges machines by silence unless another one knows what is cancelled, and for that it took any controller in contact that had read the state since its start (Peer::loaded), also one that had been cut off when the cancellation was confirmed.

Now it asks how old its own knowledge of all cancellations is, which moves only by reports. While it is at most 3 s old, those who know act. Peer::loaded is gone, so that nobody else can take it for knowledge; the ping's field stays.

--- a/crates/core/src/node/membership.rs
+++ b/crates/core/src/node/membership.rs
@@ -9,8 +9,6 @@
     pub refused_at: Option<Micros>,
     /// Its process's incarnation, the highest known.
     pub incarnation: u64,
-    /// It has read the state since it started.
-    pub loaded: bool,
     /// It reaches the state service.
     pub state_ok: bool,
     pub contacts: Vec<NodeId>,
--- a/crates/core/src/node/messaging.rs
+++ b/crates/core/src/node/messaging.rs
@@ -102,9 +102,8 @@
 
     pub(super) fn receive_message(&mut self, from: NodeId, incarnation: u64, m: Message) {
         match m {
-            Message::Ping { state_reachable, receives_from, queued_writes, state_loaded } => {
+            Message::Ping { state_reachable, receives_from, queued_writes, state_loaded: _ } => {
                 if let Some(p) = self.peers.states.get_mut(from.0 as usize) {
-                    p.loaded = state_loaded;
                     p.state_ok = state_reachable;
                     p.contacts = receives_from;
                     p.queued = queued_writes;
--- a/crates/core/src/node/placement_knowledge.rs
+++ b/crates/core/src/node/placement_knowledge.rs
@@ -1,7 +1,7 @@
 //! Whether a controller in contact knows where cancelled tasks may be.
 //!
 //! The leader knows, and so do the standby replicas of its placement log (`crate::placement_log`).
-//! A process that has read the state knows at least what was cancelled. In an outage of the state
+//! Who knows which jobs are cancelled is `cancellation_knowledge`. In an outage of the state
 //! service, all processes that know may have ended; then the only evidence left is that a machine
 //! is silent (`crate::liveness`).
 use super::*;
@@ -10,6 +10,9 @@
 /// Where it is unknown since when there are cancellations, silent machines are deleted one by one
 /// until this part of the cancellation time has passed, in percent.
 const UNKNOWN_DEADLINE_PERCENT: u64 = 20;
+/// A process that knows all cancellations up to this long ago gets them from others that know: a few
+/// times the interval between two reports.
+const CURRENT_KNOWLEDGE_AGE: Micros = Micros::secs(3);
 
 impl Node {
     /// Records contact with a controller that knows where tasks may be.
@@ -64,16 +67,15 @@
             .min()
     }
 
-    /// Jobs may have been cancelled just before this process started, or just before it lost
-    /// contact with the controllers that had read the state.
+    /// Jobs may have been cancelled just before this process started, or since the time up to which
+    /// it was told of all cancellations. A controller in contact that has read the state need not know
+    /// them either: it may have been cut off when they were confirmed.
     fn deadline_without_records(&self) -> Option<Micros> {
-        let peer_knows = self
-            .peers
-            .all()
-            .any(|n| self.in_contact(n, PEER_TIMEOUT) && self.peers.states[n.0 as usize].loaded);
-        let since = self.cancellation_knowledge.known_until().unwrap_or(self.started_at);
+        let known_until = self.cancellation_knowledge.known_until();
+        let is_current = known_until.is_some_and(|t| self.now.since(t) <= CURRENT_KNOWLEDGE_AGE);
+        let since = known_until.unwrap_or(self.started_at);
         let may_be_left = self.now.since(since) < self.leader_config.cancel_timeout;
-        (!peer_knows && may_be_left)
+        (!is_current && may_be_left)
             .then(|| since + self.leader_config.cancel_timeout.scale(UNKNOWN_DEADLINE_PERCENT, 100))
     }
 }
--- a/tests/world/knowledge_gaps.rs
+++ b/tests/world/knowledge_gaps.rs
@@ -80,11 +80,26 @@
     }
 
     fn run(&self) -> Outcome {
+        self.play(false)
+    }
+
+    /// The same with up to two machines of the west zone that hang from the confirmation on.
+    fn run_with_silent_machines(&self) -> Outcome {
+        self.play(true)
+    }
+
+    fn play(&self, silent_machines: bool) -> Outcome {
         let mut w = long_jobs_sized(self.seed, Workload::Mixed, self.timing.size(self.nodes));
         let Some(leader) = w.lead_from_east() else { return Outcome::new(&w, false) };
         let Some(confirmed_at) = w.confirm_without_west(leader, self.refused_after, self.cancel_after) else {
             return Outcome::new(&w, false);
         };
+        if silent_machines {
+            let hung_until = confirmed_at + 3 * w.size.cancel_timeout;
+            let in_west =
+                w.machines.values_mut().filter(|m| m.zone == "west" && World::runs_cancelled_task(m));
+            in_west.take(2).for_each(|m| m.hung_until = hung_until);
+        }
         w.run(confirmed_at + self.outage_at * MS);
         w.perform(leader, StateOutage(NEVER));
         for (i, n) in w.controllers_in("east").into_iter().enumerate() {
@@ -105,6 +120,13 @@
     check_plays(48, ReunionWithRestarted::from_seed, ReunionWithRestarted::run);
 }
 
+/// Guards against a controller in contact that has read the state and counts as knowing what was
+/// cancelled: nobody looked for the cancelled tasks on machines that are silent.
+#[test]
+fn restarted_controllers_look_for_silent_machines_where_nobody_knows_all() {
+    check_plays(48, ReunionWithRestarted::from_seed, ReunionWithRestarted::run_with_silent_machines);
+}
+
 /// Parameters of a run like `ReunionWithRestarted`, in which one controller of each zone is left: the
 /// one that was cut off, and a restarted one that asks it. They are too few to agree on anything.
 #[derive(Debug)]
