A leader that was never heard is not in contact

Peers::leader_contact_at was zero for "never", so a process whose clock was younger than 1.7 s (it begins a second before the start) took a leader that it had never heard for one in contact. Nothing that callers see hangs on it: the enforcer waits 4 s from the start, and a machine is silent only after three probes over 3 s. Option now, one question in place of two, and a test; all of crates/core's tests pass.

--- a/crates/core/src/node/cancellation_enforcement.rs
+++ b/crates/core/src/node/cancellation_enforcement.rs
@@ -133,7 +133,7 @@
     /// is stale.
     fn has_active_leader(&self) -> bool {
         let recent_contact = self.leadership.leader.is_some()
-            || self.now.since(self.peers.leader_contact_at) < LEADER_SILENCE_TIMEOUT;
+            || self.peers.leader_in_contact(LEADER_SILENCE_TIMEOUT, self.now);
         recent_contact
             || self.replica_sync.state_reachable(self.now) && self.replica_sync.replica.leader.is_some()
     }
--- a/crates/core/src/node/membership.rs
+++ b/crates/core/src/node/membership.rs
@@ -23,7 +23,7 @@
     /// The highest term in which a leader sent a message, and that leader.
     pub known_leader: Option<(u64, NodeId)>,
     /// When a leader of that term last sent a message.
-    pub leader_contact_at: Micros,
+    leader_contact_at: Option<Micros>,
     pub sync_term: u64,
     pub pinged_at: Micros,
 }
@@ -37,7 +37,7 @@
         Peers {
             states: vec![Peer::default(); nodes],
             known_leader: None,
-            leader_contact_at: Micros(0),
+            leader_contact_at: None,
             sync_term: 0,
             pinged_at: Micros(0),
         }
@@ -76,13 +76,42 @@
             .sum()
     }
 
+    /// Whether the leader of the highest known term sent a message within `limit`.
+    pub fn leader_in_contact(&self, limit: Micros, now: Micros) -> bool {
+        self.leader_contact_at.is_some_and(|t| now.since(t) < limit)
+    }
+
     /// Records a message of the leader of this term.
     pub fn record_leader_contact(&mut self, term: u64, from: NodeId, now: Micros) {
         if self.known_leader.is_none_or(|(t, _)| t <= term) {
-            self.leader_contact_at = now;
+            self.leader_contact_at = Some(now);
         }
         if self.known_leader.is_none_or(|(t, _)| t < term) {
             self.known_leader = Some((term, from));
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a leader that sent nothing and counts as in contact while the clock is young.
+    #[test]
+    fn a_leader_that_sent_nothing_is_not_in_contact() {
+        let ms = Micros::millis;
+        // (time of the leader's message, now, in contact)
+        let cases = [
+            (None, ms(0), false),
+            (None, ms(1_000), false),
+            (Some(ms(0)), ms(1_000), true),
+            (Some(ms(1_000)), ms(2_699), true),
+            (Some(ms(1_000)), ms(2_700), false),
+        ];
+        for (sent_at, now, expected) in cases {
+            let mut peers = Peers::new(3);
+            sent_at.into_iter().for_each(|at| peers.record_leader_contact(1, NodeId(1), at));
+            assert_eq!(peers.leader_in_contact(PEER_TIMEOUT, now), expected, "{sent_at:?} {now:?}");
+        }
+    }
+}
--- a/crates/core/src/node/placement_knowledge.rs
+++ b/crates/core/src/node/placement_knowledge.rs
@@ -18,7 +18,7 @@
     /// Records contact with a controller that knows where tasks may be.
     pub(super) fn update_placements_known_at(&mut self) {
         let leader_in_contact =
-            self.leadership.leader.is_some() || self.now.since(self.peers.leader_contact_at) < PEER_TIMEOUT;
+            self.leadership.leader.is_some() || self.peers.leader_in_contact(PEER_TIMEOUT, self.now);
         if leader_in_contact || self.peers.all().any(|n| self.has_placement_log(n)) {
             self.placements_known_at = self.now;
         }
