Core: stored records, keys and task sets in modules of their own

Moved, nothing changed: paths, keys and rows are the same. All of crates/core's tests pass, among them record_compatibility and wire_compatibility unchanged.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,188 +1,24 @@
-//! Job records, and the replica of the state service's records that every controller keeps.
+//! The replica of the state service's records that every controller keeps, and the jobs in it.
+mod job_spec_record;
+pub mod keys;
+mod records;
+mod task_set;
+
 use crate::dependencies::{DependencyGraph, Outcome};
-use crate::limits::{StoreLimits, value_len};
 use crate::placement_log::StandbyReplicas;
-use gorseshore_protocol::ids::{JobId, MachineId, Resources};
-use gorseshore_protocol::job::{JobSpec, Kind, Preference, Priority};
-use gorseshore_protocol::workers::Report;
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use gorseshore_protocol::ids::{JobId, MachineId};
+use gorseshore_protocol::job::{JobSpec, Kind};
+use job_spec_record::JobSpecRecord;
+use records::MachineBatch;
+pub use records::{
+    FAILURES_CHUNK_TASKS, Failures, JobEnd, LeaderRecord, MachineRecord, cancelled_value, job_records,
+    job_value, machine_entry_len, machines_value, parse_job_spec,
+};
+use serde::Deserialize;
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-
-/// A job specification as it is stored. New fields get a default, so that records of
-/// earlier versions still parse. Versions before 3 wrote an array of 17 positional
-/// values, which [`JobSpecRecord::parse`] accepts as well.
-#[derive(Debug, PartialEq, Serialize, Deserialize)]
-struct JobSpecRecord {
-    #[serde(rename = "l")]
-    class: String,
-    #[serde(rename = "t")]
-    team: String,
-    #[serde(rename = "k")]
-    kind: Kind,
-    #[serde(rename = "r")]
-    priority: Priority,
-    #[serde(rename = "n")]
-    tasks: u32,
-    /// Thousandths of CPUs, GPUs and GB of memory.
-    #[serde(rename = "u")]
-    task_resources: [u64; 3],
-    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
-    machine_types: Option<Vec<String>>,
-    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
-    zones: Option<Vec<String>>,
-    #[serde(rename = "o", default, skip_serializing_if = "is_default")]
-    one_zone: bool,
-    #[serde(rename = "a", default, skip_serializing_if = "is_default")]
-    spread: bool,
-    #[serde(rename = "s", default, skip_serializing_if = "is_default")]
-    spot: bool,
-    #[serde(rename = "i")]
-    image: String,
-    #[serde(rename = "ig", default, skip_serializing_if = "is_default")]
-    image_gb: f64,
-    #[serde(rename = "e", default, skip_serializing_if = "is_default")]
-    estimated_runtime_s: f64,
-    #[serde(rename = "c", default, skip_serializing_if = "is_default")]
-    checkpoint_interval_s: f64,
-    #[serde(rename = "w", default, skip_serializing_if = "is_default")]
-    checkpoint_save_s: f64,
-    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
-    deadline_s: Option<f64>,
-    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
-    max_attempts: Option<u32>,
-    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
-    preferences: Vec<Preference>,
-    /// Jobs that it replaces, followed, if it has dependencies, by its own id and its
-    /// dependencies. Versions without support for dependencies delay a job until all of
-    /// these jobs are over, so they never start a job that waits for itself.
-    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-    after: Vec<u64>,
-    /// Number of ids at the end of `after` that are dependencies.
-    #[serde(rename = "q", default, skip_serializing_if = "is_default")]
-    dependencies: usize,
-    /// Number of additional keys that hold dependencies (`keys::dependencies`).
-    #[serde(rename = "qk", default, skip_serializing_if = "is_default")]
-    dependency_keys: u32,
-}
-
-/// The job's own id if it has dependencies; its record lists it among the jobs that it
-/// replaces.
-fn own_id_if_dependent(s: &JobSpec) -> Option<&JobId> {
-    (!s.dependencies.is_empty()).then_some(&s.id)
-}
-
-fn is_default<T: Default + PartialEq>(v: &T) -> bool {
-    *v == T::default()
-}
-
-impl JobSpecRecord {
-    fn from_spec(s: &JobSpec) -> Self {
-        JobSpecRecord {
-            class: s.class.clone(),
-            team: s.team.clone(),
-            kind: s.kind,
-            priority: s.priority,
-            tasks: s.tasks,
-            task_resources: [s.task_resources.cpu, s.task_resources.gpu, s.task_resources.mem],
-            machine_types: s.machine_types.clone(),
-            zones: s.zones.clone(),
-            one_zone: s.one_zone,
-            spread: s.spread,
-            spot: s.spot,
-            image: s.image.clone(),
-            image_gb: s.image_gb,
-            estimated_runtime_s: s.estimated_runtime_s,
-            checkpoint_interval_s: s.checkpoint_interval_s,
-            checkpoint_save_s: s.checkpoint_save_s,
-            deadline_s: s.deadline_s,
-            max_attempts: s.max_attempts,
-            preferences: s.preferences.clone(),
-            after: s
-                .replaces
-                .iter()
-                .chain(own_id_if_dependent(s))
-                .chain(&s.dependencies)
-                .map(|j| j.0)
-                .collect(),
-            dependencies: s.dependencies.len(),
-            dependency_keys: 0,
-        }
-    }
-
-    fn parse(v: &Value) -> Option<Self> {
-        match v {
-            Value::Array(row) => Self::from_row(row),
-            _ => Self::deserialize(v).ok(),
-        }
-    }
-
-    fn into_spec(self, id: JobId) -> JobSpec {
-        let r = self;
-        let mut after: Vec<JobId> = r.after.into_iter().map(JobId).collect();
-        let dependencies = after.split_off(after.len().saturating_sub(r.dependencies));
-        after.retain(|job| *job != id);
-        JobSpec {
-            id,
-            class: r.class,
-            team: r.team,
-            kind: r.kind,
-            priority: r.priority,
-            tasks: r.tasks,
-            task_resources: Resources {
-                cpu: r.task_resources[0],
-                gpu: r.task_resources[1],
-                mem: r.task_resources[2],
-            },
-            machine_types: r.machine_types,
-            zones: r.zones,
-            one_zone: r.one_zone,
-            spread: r.spread,
-            spot: r.spot,
-            image: r.image,
-            image_gb: r.image_gb,
-            estimated_runtime_s: r.estimated_runtime_s,
-            checkpoint_interval_s: r.checkpoint_interval_s,
-            checkpoint_save_s: r.checkpoint_save_s,
-            deadline_s: r.deadline_s,
-            max_attempts: r.max_attempts,
-            preferences: r.preferences,
-            replaces: after,
-            dependencies,
-        }
-    }
-
-    fn from_row(row: &[Value]) -> Option<Self> {
-        fn at<'a, T: Deserialize<'a>>(row: &'a [Value], i: usize) -> Option<T> {
-            T::deserialize(row.get(i)?).ok()
-        }
-        Some(JobSpecRecord {
-            class: at(row, 0)?,
-            team: at(row, 1)?,
-            kind: at(row, 2)?,
-            priority: at(row, 3)?,
-            tasks: at(row, 4)?,
-            task_resources: at(row, 5)?,
-            machine_types: at(row, 6)?,
-            zones: at::<Option<String>>(row, 7)?.map(|z| vec![z]),
-            one_zone: at(row, 8)?,
-            spread: at(row, 9)?,
-            spot: at(row, 10)?,
-            image: at(row, 11)?,
-            image_gb: at(row, 12)?,
-            estimated_runtime_s: at(row, 13)?,
-            checkpoint_interval_s: at(row, 14)?,
-            checkpoint_save_s: at(row, 15)?,
-            deadline_s: at(row, 16)?,
-            max_attempts: None,
-            preferences: Vec::new(),
-            after: Vec::new(),
-            dependencies: 0,
-            dependency_keys: 0,
-        })
-    }
-}
+pub use task_set::{PROGRESS_CHUNK_TASKS, TaskSet, split_progress_text};
 
 /// Phase of a job according to its records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -195,101 +31,6 @@
     Cancelled,
 }
 
-/// A set of task indexes.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct TaskSet {
-    words: Vec<u64>,
-    count: u32,
-}
-impl TaskSet {
-    /// Adds a task and returns whether it was new.
-    pub fn insert(&mut self, i: u32) -> bool {
-        let (w, b) = (i as usize / 64, i % 64);
-        if self.words.len() <= w {
-            self.words.resize(w + 1, 0);
-        }
-        let new = self.words[w] & (1 << b) == 0;
-        self.words[w] |= 1 << b;
-        self.count += new as u32;
-        new
-    }
-    /// Whether task `i` is in the set.
-    pub fn contains(&self, i: u32) -> bool {
-        self.words.get(i as usize / 64).is_some_and(|w| w & (1 << (i % 64)) != 0)
-    }
-    /// Number of tasks in the set.
-    pub fn len(&self) -> u32 {
-        self.count
-    }
-    /// Whether the set has no tasks.
-    pub fn is_empty(&self) -> bool {
-        self.count == 0
-    }
-    /// Number of tasks in the set whose index is below `n`.
-    pub fn count_below(&self, n: u32) -> u32 {
-        let word = n as usize / 64;
-        let mask = (1u64 << (n % 64)) - 1;
-        let not_below = self.words.get(word).map_or(0, |w| (w & !mask).count_ones())
-            + self.words.iter().skip(word + 1).map(|w| w.count_ones()).sum::<u32>();
-        self.count - not_below
-    }
-    /// Adds all tasks of `other`.
-    pub fn union(&mut self, other: &TaskSet) {
-        for (i, w) in other.words.iter().enumerate() {
-            let mut w = *w;
-            while w != 0 {
-                self.insert(i as u32 * 64 + w.trailing_zeros());
-                w &= w - 1;
-            }
-        }
-    }
-    /// Encodes the tasks of a chunk as comma-separated 64-bit words in hexadecimal,
-    /// without trailing zero words.
-    pub fn chunk_text(&self, chunk: u32) -> String {
-        let from = (chunk * PROGRESS_CHUNK_TASKS / 64) as usize;
-        let to = (from + PROGRESS_CHUNK_TASKS as usize / 64).min(self.words.len());
-        let mut words = self.words.get(from.min(to)..to).unwrap_or(&[]);
-        while let [rest @ .., 0] = words {
-            words = rest;
-        }
-        words.iter().map(|w| format!("{w:x}")).collect::<Vec<_>>().join(",")
-    }
-    /// Adds the tasks of a chunk encoded by [`TaskSet::chunk_text`].
-    pub fn add_chunk(&mut self, chunk: u32, text: &str) {
-        for (i, part) in text.split(',').enumerate().take(PROGRESS_CHUNK_TASKS as usize / 64) {
-            let mut w = u64::from_str_radix(part, 16).unwrap_or(0);
-            while w != 0 {
-                self.insert(chunk * PROGRESS_CHUNK_TASKS + i as u32 * 64 + w.trailing_zeros());
-                w &= w - 1;
-            }
-        }
-    }
-}
-
-/// Splits the text of a progress chunk into values of at most `max_bytes` bytes. Each
-/// value keeps its words at their positions, with empty words for those of earlier parts.
-pub fn split_progress_text(text: &str, max_bytes: usize) -> Vec<Value> {
-    const QUOTES: usize = 2;
-    const SEPARATOR: usize = 1;
-    let mut parts = vec![String::new()];
-    for (position, word) in text.split(',').enumerate() {
-        let Some(part) = parts.last_mut() else { break };
-        if position == 0 {
-            part.push_str(word);
-        } else if part.len() + SEPARATOR + word.len() + QUOTES <= max_bytes {
-            part.push(',');
-            part.push_str(word);
-        } else {
-            parts.push(",".repeat(position) + word);
-        }
-    }
-    parts.into_iter().map(Value::from).collect()
-}
-
-/// Tasks in one progress record: at most 128 words of 17 bytes, 2.2 KB, split over
-/// several values where one value is too small ([`split_progress_text`]).
-pub const PROGRESS_CHUNK_TASKS: u32 = 8192;
-
 /// A job according to its records.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -327,66 +68,6 @@
     last_used: Option<u64>,
 }
 
-/// Failed attempts of a task.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Failures {
-    /// Number of failed attempts.
-    #[serde(rename = "n")]
-    pub count: u32,
-    /// The last attempt that was counted. An attempt counts once, however often and to
-    /// whichever controller its failure is reported.
-    #[serde(rename = "a")]
-    pub last_attempt: u64,
-}
-
-/// Tasks in one failure record: at most 2.6 KB, split over several values where one
-/// value is too small.
-pub const FAILURES_CHUNK_TASKS: u32 = 64;
-
-/// A recorded machine: tasks may be started on it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    /// Machine type.
-    #[serde(rename = "t")]
-    pub machine_type: String,
-    /// Zone of the machine.
-    #[serde(rename = "z")]
-    pub zone: String,
-    /// Whether it is a spot machine.
-    #[serde(rename = "s")]
-    pub spot: bool,
-    /// Address of the machine's worker.
-    #[serde(rename = "a")]
-    pub addr: String,
-}
-
-impl MachineRecord {
-    /// Creates the record of the machine that sent the report.
-    pub fn from_report(r: &Report) -> Self {
-        MachineRecord {
-            machine_type: r.machine_type.clone(),
-            zone: r.zone.clone(),
-            spot: r.spot,
-            addr: r.addr.clone(),
-        }
-    }
-    /// Whether the report shows the same machine type, zone and spot flag.
-    pub fn matches_report(&self, r: &Report) -> bool {
-        (&self.machine_type, &self.zone, self.spot) == (&r.machine_type, &r.zone, r.spot)
-    }
-}
-
-/// Record of the current leader.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LeaderRecord {
-    /// Name of the leading controller.
-    pub node: String,
-    /// Leader's term.
-    pub term: u64,
-    /// State service lease that the record is attached to.
-    pub lease: u64,
-}
-
 /// What an applied change concerns.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
@@ -408,209 +89,6 @@
     Other,
 }
 
-/// Keys in the state service.
-pub mod keys {
-    use super::*;
-    /// Key space of the extension.
-    pub const EXTENSION_PREFIX: &str = "g/n/";
-    /// Prefix of all keys.
-    pub const ROOT_PREFIX: &str = "g/";
-    /// The leader record.
-    pub const LEADER: &str = "g/leader";
-    /// The last term.
-    pub const TERM: &str = "g/term";
-    /// Which controllers hold replicas of the leader's placement log.
-    pub const STANDBY_REPLICAS: &str = "g/books";
-    /// Prefix of the records that hold several machines.
-    pub const MACHINES_PREFIX: &str = "g/h/";
-    /// Prefix of the jobs' records.
-    pub const JOB_PREFIX: &str = "g/j/";
-    /// Prefix of the records of jobs' ends.
-    pub const END_PREFIX: &str = "g/x/";
-    /// Prefix of dependencies that don't fit into their jobs' records.
-    pub const DEPENDENCIES_PREFIX: &str = "g/d/";
-    /// Prefix of the jobs' progress.
-    pub const PROGRESS_PREFIX: &str = "g/p/";
-    /// Prefix of the jobs' failures.
-    pub const FAILURES_PREFIX: &str = "g/r/";
-    /// Id of the last rental request.
-    pub const LAST_RENTAL_REQUEST: &str = "g/hire";
-    /// A job's record.
-    pub fn job(id: JobId) -> String {
-        format!("{JOB_PREFIX}{id}")
-    }
-    /// The record of a job's end.
-    pub fn end(id: JobId) -> String {
-        format!("{END_PREFIX}{id}")
-    }
-    /// A part of a job's dependencies that don't fit into its record.
-    pub fn dependencies(id: JobId, part: u32) -> String {
-        format!("{}{part}", all_dependencies(id))
-    }
-    /// Prefix of all parts of a job's dependencies.
-    pub fn all_dependencies(id: JobId) -> String {
-        format!("{DEPENDENCIES_PREFIX}{id}/")
-    }
-    /// A chunk of a job's progress.
-    pub fn progress(id: JobId, chunk: u32) -> String {
-        format!("{PROGRESS_PREFIX}{id}/{chunk}")
-    }
-    /// A chunk of a job's failures. Listings are sorted by key, and a job must be listed
-    /// before its failures and those before its end: `r` sorts between `j` and `x`.
-    pub fn failures(id: JobId, chunk: u32) -> String {
-        format!("{FAILURES_PREFIX}{id}/{chunk}")
-    }
-    /// A part of a chunk's progress. The first part has the key [`progress`]; each further
-    /// part prepends one more zero to the chunk number. Versions that expect one key per
-    /// chunk parse this as the same number and merge the tasks of all parts.
-    pub fn progress_part(id: JobId, chunk: u32, part: usize) -> String {
-        format!("{PROGRESS_PREFIX}{id}/{}{chunk}", "0".repeat(part))
-    }
-    /// A part of a chunk's failures, named in the same way as [`progress_part`].
-    pub fn failures_part(id: JobId, chunk: u32, part: usize) -> String {
-        format!("{FAILURES_PREFIX}{id}/{}{chunk}", "0".repeat(part))
-    }
-    /// Whether a progress or failure key names a further part of a chunk.
-    pub fn is_further_part(name: &str) -> bool {
-        name.rsplit_once('/').is_some_and(|(_, chunk)| chunk.len() > 1 && chunk.starts_with('0'))
-    }
-    /// Parses job and chunk from a progress or failure key, of any part, without its prefix;
-    /// also job and part from a key of further dependencies.
-    pub fn parse_chunk(name: &str) -> Option<(JobId, u32)> {
-        let (id, chunk) = name.split_once('/')?;
-        Some((JobId::parse(id)?, chunk.parse().ok()?))
-    }
-    /// Messages from one controller to another that are relayed through the state service
-    /// when no network path between the two is left.
-    pub fn relayed_messages(to: &str, from: &str) -> String {
-        format!("g/c/{to}/{from}")
-    }
-    /// A single machine, as versions before 2 recorded it; still read.
-    pub fn machine(id: &MachineId) -> String {
-        format!("g/m/{id}")
-    }
-    /// Machines of the same type, zone and spot flag in one record, keyed by the first one.
-    pub fn machines(first: &MachineId) -> String {
-        format!("{MACHINES_PREFIX}{first}")
-    }
-}
-
-/// Value of a job's record.
-pub fn job_value(spec: &JobSpec, submitted_ms: u64) -> Value {
-    json!({"d": JobSpecRecord::from_spec(spec), "at": submitted_ms})
-}
-
-/// Value of the record of a cancelled job's end: the time, the cause if the service ended
-/// the job, and whether none of its tasks is left on any machine.
-pub fn cancelled_value(at_ms: u64, cause: Option<&str>, fully_stopped: bool) -> Value {
-    let mut end = json!({"end": "aborted", "at": at_ms});
-    if let Some(why) = cause {
-        end["why"] = json!(why);
-    }
-    if fully_stopped {
-        end["gone"] = json!(true);
-    }
-    end
-}
-
-/// The record of a job's end.
-#[derive(Debug, Clone, PartialEq)]
-pub struct JobEnd {
-    /// Done or cancelled.
-    pub phase: Phase,
-    /// Wall-clock time of the end, in milliseconds.
-    pub at_ms: u64,
-    /// The job was cancelled and none of its tasks is left on any machine.
-    pub fully_stopped: bool,
-    /// Why the service ended the job, if it did.
-    pub cause: Option<String>,
-}
-
-impl JobEnd {
-    /// Parses the value of an end's record; one that is not `done` is a cancellation.
-    pub fn parse(v: &Value) -> Self {
-        JobEnd {
-            phase: if v["end"] == "done" { Phase::Done } else { Phase::Cancelled },
-            at_ms: v["at"].as_u64().unwrap_or(0),
-            fully_stopped: v["gone"] == true,
-            cause: v["why"].as_str().map(str::to_owned),
-        }
-    }
-
-    /// Whether none of the job's tasks can be on a machine.
-    pub fn is_settled(&self) -> bool {
-        self.phase == Phase::Done || self.fully_stopped
-    }
-}
-
-/// Bytes of a job's record reserved for the submission time and for the overhead that the
-/// state service counts beside the text.
-const RECORD_OVERHEAD_BYTES: usize = 64;
-
-/// Builds the records of a job, its own first. Dependencies that don't fit there go into
-/// further keys. `None` if the records exceed what one transaction may write.
-pub fn job_records(spec: &JobSpec, submitted_ms: u64, limits: &StoreLimits) -> Option<Vec<(String, Value)>> {
-    let max_bytes = limits.value_bytes.saturating_sub(RECORD_OVERHEAD_BYTES);
-    let fits = |v: &Value| value_len(v) <= max_bytes;
-    let whole = job_value(spec, submitted_ms);
-    if fits(&whole) {
-        return Some(vec![(keys::job(spec.id), whole)]);
-    }
-    let mut record = JobSpecRecord::from_spec(&JobSpec { dependencies: Vec::new(), ..spec.clone() });
-    record.after.extend(own_id_if_dependent(spec).map(|id| id.0));
-    let mut values: Vec<Value> = Vec::new();
-    let mut rest = &spec.dependencies[..];
-    while !rest.is_empty() {
-        let (ids, remaining) = rest.split_at(count_ids_that_fit(rest, max_bytes));
-        if ids.is_empty() || values.len() + 2 > limits.txn_ops {
-            return None;
-        }
-        values.push(json!(ids.iter().map(|id| id.0).collect::<Vec<u64>>()));
-        rest = remaining;
-    }
-    record.dependency_keys = values.len() as u32;
-    let job_record = json!({"d": record, "at": submitted_ms});
-    if !fits(&job_record) {
-        return None;
-    }
-    let parts = values.into_iter().zip(0..).map(|(v, part)| (keys::dependencies(spec.id, part), v));
-    Some(std::iter::once((keys::job(spec.id), job_record)).chain(parts).collect())
-}
-
-/// Number of leading ids that fit into a JSON array of at most `max_bytes` bytes.
-fn count_ids_that_fit(ids: &[JobId], max_bytes: usize) -> usize {
-    let mut length = 2;
-    let fits = |id: &&JobId| {
-        length += id.0.to_string().len() + 2;
-        length <= max_bytes
-    };
-    ids.iter().take_while(fits).count()
-}
-
-/// Parses the job specification in a record that [`job_value`] built.
-pub fn parse_job_spec(id: JobId, record: &Value) -> Option<JobSpec> {
-    Some(JobSpecRecord::parse(&record["d"])?.into_spec(id))
-}
-
-/// Value of the record of machines of one `kind` (machine type, zone, spot flag), with the
-/// name and worker address of each machine.
-pub fn machines_value<'a>(
-    kind: (&str, &str, bool),
-    machines: impl Iterator<Item = (&'a MachineId, &'a str)>,
-) -> Value {
-    let list: Vec<[&str; 2]> = machines.map(|(id, addr)| [id.as_str(), addr]).collect();
-    json!({"t": kind.0, "z": kind.1, "s": kind.2, "m": list})
-}
-
-/// Bytes of quotes, brackets and separators of a machine in a record of several machines,
-/// as [`crate::limits::value_len`] counts them.
-const MACHINE_ENTRY_OVERHEAD_BYTES: usize = 12;
-
-/// Bytes that a machine takes in a record of several machines.
-pub fn machine_entry_len(id: &MachineId, addr: &str) -> usize {
-    id.as_str().len() + addr.len() + MACHINE_ENTRY_OVERHEAD_BYTES
-}
-
 /// A controller's replica of the records in the state service.
 ///
 /// Invariant: every recorded job that is not settled ([`Job::is_settled`]) is held, as of
@@ -782,19 +260,6 @@
     }
 }
 
-/// Stored form of the record of several machines of one kind.
-#[derive(Deserialize)]
-struct MachineBatch {
-    #[serde(rename = "t")]
-    machine_type: String,
-    #[serde(rename = "z")]
-    zone: String,
-    #[serde(rename = "s")]
-    spot: bool,
-    #[serde(rename = "m")]
-    machines: Vec<(String, String)>,
-}
-
 impl StateReplica {
     /// Stores the end of a job; returns the jobs that are cancelled with it.
     fn record_end(&mut self, id: JobId, end: JobEnd, revision: u64) -> Vec<JobId> {
@@ -1053,6 +518,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use gorseshore_protocol::job::Priority;
+    use serde_json::json;
 
     #[test]
     fn progress_chunks_round_trip_within_2300_bytes() {
--- a/crates/core/src/jobs/dependency_records.rs
+++ b/crates/core/src/jobs/dependency_records.rs
@@ -1,7 +1,9 @@
 //! Tests of the records of jobs with dependencies: they are written within the state
 //! service's limits and can be read in any order.
 use super::*;
+use crate::limits::{StoreLimits, value_len};
 use gorseshore_protocol::users::parse_submission;
+use serde_json::json;
 
 /// A submission with the given number of dependencies, whose ids start at 1,000,000.
 fn submission(dependencies: usize) -> JobSpec {
