Stand-ins: a site keeps the listener whose port was found free

Cause: the site found a free port by binding it, closed that listener and bound the port again. A child process that another thread was just starting (the other test of the file does) holds a copy of the listener until it executes its program, so that the second bind fails: the address is in use. Which error the failed test got was not printed; it is now.

The site keeps the first listener. The test asserts the same.

--- a/crates/standins/src/net.rs
+++ b/crates/standins/src/net.rs
@@ -150,17 +150,24 @@
     send_request(addr, method, path, "", body, Duration::from_secs(10)).map(|t| (t.status, t.json()))
 }
 
-/// A free address for a program that is started later. Never returned twice by this
-/// process, and below the ephemeral port range: an outgoing connection has taken an
-/// ephemeral port between its selection and its use.
-pub fn free_address() -> std::io::Result<SocketAddr> {
+/// A listener on a port that no other one had, below the ephemeral port range: an outgoing
+/// connection has taken an ephemeral port between its selection and its use. No port is returned
+/// twice by this process.
+pub fn free_listener() -> std::io::Result<TcpListener> {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let first = 16_000 + (std::process::id() % 500) as u16 * 32;
     loop {
         let port = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         match TcpListener::bind(("127.0.0.1", port)) {
             Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {}
-            bound => return bound?.local_addr(),
+            bound => return bound,
         }
     }
 }
+
+/// A free address for a program that is started later. A child process that this one starts holds a
+/// copy of the closed listener until it executes its program, so whoever binds the address here takes
+/// `free_listener`.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    free_listener()?.local_addr()
+}
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -2,7 +2,7 @@
 //! controllers, each in its own thread or as a process of a given program. Nothing is
 //! persisted beyond the site.
 use crate::cloud::flavor;
-use crate::net::{Handler, KeepAliveConnection, call, free_address, serve};
+use crate::net::{Handler, KeepAliveConnection, call, free_listener, serve};
 use crate::process::{ControllerProcess, TemporaryDirectory};
 use crate::soak::history::{MachineView, Recorder};
 use crate::state::{Outcome, StateService};
@@ -299,7 +299,7 @@
         // its controller starts. A controller process binds its address itself at every
         // start, so that its port must be one that no outgoing connection gets meanwhile.
         let listener = |i| match options.programs.contains_key(&i) {
-            true => TcpListener::bind(free_address()?),
+            true => free_listener(),
             false => TcpListener::bind("127.0.0.1:0"),
         };
         let bind = || (0..n).map(listener).collect::<Result<Vec<_>, _>>();
--- a/tests/rolling.rs
+++ b/tests/rolling.rs
@@ -73,5 +73,6 @@
     }
     let programs = BTreeMap::from([(0, missing_program.to_owned())]);
     let started = Site::start(&Options { controllers: 1, programs, ..Options::default() });
-    assert!(matches!(started, Err(SiteError::Program { .. })));
+    let error = started.err();
+    assert!(matches!(error, Some(SiteError::Program { .. })), "{error:?}");
 }
