A start that was answered may be carried out again: only a token or session ends it

Cause: the answer 200 was taken for proof that the call can't be carried out again. From then on `clear` was allowed, the start was dropped and its binding could end. The same held of a start that was never answered and whose task had exited: it asked for a higher token, and was then never cleared, however high the token.

Fix: one definition, `Worker::is_open`: a start that went out in a direct call is open until the worker has a higher token or a later session. No answer, report or time closes it. `clear` goes only in a response whose token closes the start (a worker takes the token before the commands). No task is placed on a machine whose worker still has another attempt of it, nor on one with 500 tasks in its reports. Messages and stored records are unchanged.

Logs: one line for each start and clear that is sent (token, session, attempts) and for each token raised; a warning, and a count in the status line, for an attempt that is reported again after it was cleared; the exits that wait for a token, in the status line.

Evidence: `tests/world/repeated_commands.rs` repeats direct commands that were carried out.

--- a/crates/core/src/controller/assignments.rs
+++ b/crates/core/src/controller/assignments.rs
@@ -60,7 +60,7 @@
                 agent_epoch: w.agent_epoch,
                 need: spec.task_resources,
                 reported: false,
-                delivery: Delivery::Settled,
+                delivery: Delivery::NotSent,
                 in_response_to: None,
             },
         );
@@ -89,7 +89,11 @@
         {
             return None;
         }
+        // A worker refuses a task of which it still has another attempt, also an exited one.
+        let has_other_attempt = w.tasks.iter().any(|t| t.task == assignment.task);
         if w.agent_epoch == 0
+            || has_other_attempt
+            || w.reported_tasks() >= MAX_REPORTED_TASKS
             || !w.acknowledges_commands
             || w.last_contact.is_none_or(|t| now.since(t) > Micros::secs(5))
         {
--- a/crates/core/src/controller/block.rs
+++ b/crates/core/src/controller/block.rs
@@ -35,9 +35,7 @@
                 w.addr = g.addr.clone();
             }
             if g.fencing_token > w.fencing_token {
-                w.fencing_token = g.fencing_token;
-                w.announce_token = true;
-                w.next_call_at = Micros(0);
+                w.raise_token(g.fencing_token);
                 added += 1;
             }
             self.mark_changed(&g.id);
--- a/crates/core/src/controller/commands.rs
+++ b/crates/core/src/controller/commands.rs
@@ -1,8 +1,28 @@
 //! Commands to workers, in responses to heartbeats and in direct calls. Invariant: a start is sent
-//! only under its grant's fencing token, and `clear` only when no call with the start can still
-//! arrive.
+//! only under its grant's fencing token, and `clear` only in a response whose fencing token rules
+//! out that a call with the start is carried out afterwards.
 use super::*;
 
+/// Logs the starts and clears that are sent to a worker, in one line each. A halt is logged by
+/// whoever decides it.
+pub(super) fn log_commands(
+    id: &MachineId,
+    sent_in: &str,
+    fencing_token: FencingToken,
+    agent_epoch: u64,
+    commands: &[Command],
+) {
+    for (action, event) in [("run", "start"), ("clear", "clear")] {
+        let matching = commands.iter().filter(|c| c.action == action);
+        let attempts: Vec<String> = matching.map(|c| format!("{}@{}", c.task, c.attempt)).collect();
+        if !attempts.is_empty() {
+            let attempts = attempts.join(",");
+            let token = fencing_token.0;
+            info!("{id}: {event} sent_in={sent_in} token={token} epoch={agent_epoch} attempts={attempts}");
+        }
+    }
+}
+
 impl Controller {
     /// Commands for a machine. `response` is true if they are sent in the response to a heartbeat.
     pub(super) fn commands(
@@ -25,14 +45,13 @@
             let k = (t.task, t.attempt);
             if t.state.exited() {
                 // `clear` is sent only in responses to heartbeats, after which no earlier response
-                // can be executed, and only when no `/do` call with the start is pending, which
-                // would start the task again if it arrived late.
-                let settled = w.starts.get(&k).is_none_or(|s| s.delivery == Delivery::Settled);
+                // can be executed. The worker takes the response's token before its commands.
+                let open = w.is_open(&k, w.fencing_token);
                 let recorded = match t.state {
                     TaskState::Done => is_finished(state_replica.jobs.get(&t.task.job), t.task.index),
                     _ => w.exits.get(&k).copied().flatten().is_some_and(|seq| seq <= acked),
                 };
-                if response && settled && recorded {
+                if response && !open && recorded {
                     out.push(command("clear", &k, None));
                 }
                 continue;
@@ -69,7 +88,7 @@
                 if response {
                     s.in_response_to = Some((w.agent_epoch, w.sequence));
                     out.push(command("run", k, None));
-                } else if s.delivery == Delivery::Settled && s.in_response_to.is_none() {
+                } else if s.delivery == Delivery::NotSent && s.in_response_to.is_none() {
                     out.push(command("run", k, None));
                 }
             }
@@ -110,7 +129,7 @@
         let before = w.starts.len();
         let (stops, tasks) = (&w.stops, &w.tasks);
         w.starts.retain(|k, s| {
-            let may_arrive = s.reported || s.delivery != Delivery::Settled || s.in_response_to.is_some();
+            let may_arrive = s.reported || s.delivery == Delivery::Sent || s.in_response_to.is_some();
             may_arrive
                 || tasks.iter().any(|t| (t.task, t.attempt) == *k)
                 || !(is_finished(state_replica.jobs.get(&k.0.job), k.0.index) || stops.contains_key(k))
@@ -120,6 +139,14 @@
         }
     }
 
+    /// Asks the leader for a higher fencing token, with the next `Sync`, if one is due.
+    fn request_token_if_due(&mut self, id: &MachineId, state_replica: &StateReplica, now: Micros) {
+        let due = |w: &Worker| !w.token_requested && w.needs_new_token(state_replica, now);
+        if self.workers.get(id).is_some_and(due) {
+            self.mark_changed(id);
+        }
+    }
+
     /// Sends the commands and probes that are due, with at most one call in flight to each worker.
     /// Returns the calls sent.
     pub fn send_commands(
@@ -140,6 +167,7 @@
         let mut calls = Vec::new();
         for id in ids {
             self.drop_obsolete_starts(&id, state_replica);
+            self.request_token_if_due(&id, state_replica, now);
             let Some(w) = self.workers.get(&id) else { continue };
             if w.direct.is_some() || w.addr.is_empty() || now < w.next_call_at {
                 continue;
@@ -180,9 +208,10 @@
                 matching.filter_map(|o| Some((TaskId::parse(&o.task)?, Attempt(o.attempt)))).collect()
             };
             let (runs, stops) = (sent("run"), sent("halt"));
+            log_commands(&id, "call", w.fencing_token, w.agent_epoch, &commands);
             for k in &runs {
                 if let Some(s) = w.starts.get_mut(k) {
-                    s.delivery = Delivery::InFlight;
+                    s.delivery = Delivery::Sent;
                 }
             }
             let body =
@@ -210,13 +239,11 @@
         if let CallResult::Response { status, .. } = result {
             debug!("{id}: direct call answered status={status} starts={}", d.runs.len());
         }
-        let delivery = match result {
-            CallResult::Response { status: 200 | 400 | 409, .. } | CallResult::NotSent => Delivery::Settled,
-            _ => Delivery::Uncertain,
-        };
-        for k in &d.runs {
+        let invalid = matches!(result, CallResult::Response { status: 400, .. } | CallResult::NotSent);
+        let refused = invalid || matches!(result, CallResult::Response { status: 409, .. });
+        for k in d.runs.iter().filter(|_| invalid) {
             if let Some(s) = w.starts.get_mut(k) {
-                s.delivery = delivery;
+                s.delivery = Delivery::NotSent;
             }
         }
         // A stop that was not carried out is sent again. So is one that may not have been carried
@@ -224,7 +251,7 @@
         // reaches no controller receives it in no other way.
         let done = matches!(result, CallResult::Response { status: 200, .. });
         for k in d.stops.iter().filter(|_| !done) {
-            if let Some(s) = w.stops.get_mut(k).filter(|s| delivery == Delivery::Settled || s.grace.0 == 0) {
+            if let Some(s) = w.stops.get_mut(k).filter(|s| refused || s.grace.0 == 0) {
                 s.sent_direct = false;
             }
         }
@@ -265,6 +292,7 @@
                 w.next_call_at = now + Micros::millis(700);
             }
         }
+        self.warn_of_reappeared(id);
         self.mark_changed(id);
     }
 }
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -4,6 +4,8 @@
 mod block;
 mod commands;
 #[cfg(test)]
+mod repeated_starts;
+#[cfg(test)]
 mod stale_heartbeats;
 #[cfg(test)]
 mod stops;
@@ -18,7 +20,7 @@
     Assignment, AssignmentOutcome, GrantedMachine, MachineState, Message, StopRequest, TaskState, TaskStatus,
     UnleasedReport,
 };
-use crate::placement::{self, Candidate};
+use crate::placement::{self, Candidate, MAX_REPORTED_TASKS};
 use crate::{Call, CallId, CallResult, Outbox, Target};
 use gorseshore_protocol::ids::{Attempt, FencingToken, JobId, MachineId, Micros, NodeId, Resources, TaskId};
 use gorseshore_protocol::job::JobSpec;
@@ -62,6 +64,8 @@
     pub holders: BTreeMap<MachineId, NodeId>,
     /// Running tasks of each job, as last reported by the leader.
     pub running_counts: BTreeMap<JobId, u32>,
+    /// Attempts that a worker reported again after they were cleared, since this process began.
+    pub reappeared_attempts: u64,
 }
 
 /// A worker without contact for this long is probed by the controller that holds its machine.
@@ -166,11 +170,29 @@
             self.mark_changed(&id);
         }
         let may_start = now < self.lease_until;
+        self.warn_of_reappeared(&id);
         let commands = self.commands(&id, state_replica, true, may_start);
         let w = &self.workers[&id];
+        commands::log_commands(&id, "response", w.fencing_token, w.agent_epoch, &commands);
         HeartbeatReply::Commands(w.fencing_token, commands)
     }
 
+    /// Warns of attempts that a worker reports again after they were cleared: a start was carried
+    /// out twice.
+    pub(super) fn warn_of_reappeared(&mut self, id: &MachineId) {
+        let Some(w) = self.workers.get_mut(id) else { return };
+        for (task, attempt) in w.take_reappeared() {
+            self.reappeared_attempts += 1;
+            let (token, epoch) = (w.seen_fencing_token.0, w.agent_epoch);
+            warn!("{id}: a cleared attempt is back attempt={task}@{} token={token} epoch={epoch}", attempt.0);
+        }
+    }
+
+    /// Exited tasks that wait for a higher fencing token before they can be cleared.
+    pub fn exits_waiting_for_token(&self) -> usize {
+        self.workers.values().map(Worker::exits_waiting_for_token).sum()
+    }
+
     /// Stop commands for the finished tasks of a machine that this controller does not hold. No
     /// other command may be sent there.
     pub fn stops_for_unleased(tasks: &[TaskStatus], state_replica: &StateReplica) -> Vec<Command> {
--- a/crates/core/src/controller/sync.rs
+++ b/crates/core/src/controller/sync.rs
@@ -33,20 +33,13 @@
             .map(|(id, w)| {
                 w.exits.values_mut().for_each(|e| *e = e.or(Some(seq)));
                 let mut tasks = w.tasks.clone();
-                let mut needs_new_fencing_token = false;
-                for (k, s) in &w.starts {
-                    let in_report = w.tasks.iter().find(|t| (t.task, t.attempt) == *k);
-                    if in_report.is_none() {
-                        tasks.push(TaskStatus { task: k.0, attempt: k.1, state: TaskState::Starting });
-                    }
-                    let unwanted =
-                        is_finished(state_replica.jobs.get(&k.0.job), k.0.index) || w.stops.contains_key(k);
-                    let exited = in_report.is_some_and(|t| t.state.exited());
-                    let cleared = s.reported && in_report.is_none();
-                    needs_new_fencing_token |= s.delivery == Delivery::Uncertain
-                        && s.fencing_token == w.fencing_token
-                        && (exited || cleared || (unwanted && in_report.is_none()));
-                }
+                let starting = w.starts.keys().filter(|k| !w.has(k));
+                tasks.extend(starting.map(|k| TaskStatus {
+                    task: k.0,
+                    attempt: k.1,
+                    state: TaskState::Starting,
+                }));
+                w.token_requested = w.needs_new_token(state_replica, now);
                 MachineState {
                     id: id.clone(),
                     fencing_token: w.fencing_token,
@@ -57,7 +50,7 @@
                     preemption_notice: w
                         .preemption_notice
                         .map(|(at, left)| left.saturating_sub(now.since(at))),
-                    needs_new_fencing_token,
+                    needs_new_fencing_token: w.token_requested,
                     tasks,
                 }
             })
--- a/crates/core/src/controller/worker.rs
+++ b/crates/core/src/controller/worker.rs
@@ -1,19 +1,27 @@
 //! A machine of the block: its worker's last report, and the starts and stops that are pending there.
-//! Invariant: a pending start is kept until a report shows its task, or a later agent epoch or a
-//! higher fencing token rules out that it still arrives (`Worker::apply_report`).
+//! Invariant: a start that went out in a direct call may be carried out, for the first time or once
+//! more, until the worker has a higher fencing token or a later agent epoch (`Worker::is_open`). No
+//! response, report or waiting time rules that out. Until then the start is kept
+//! (`Worker::apply_report`), and its attempt stays on the worker (`Controller::commands`).
 use super::*;
 
-/// Whether a `/do` call with a start may still arrive.
+/// Whether a start went out in a direct call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Delivery {
-    /// No call can still arrive.
-    Settled,
-    /// A call is in flight.
-    InFlight,
-    /// A call was not answered; it may be executed minutes later.
-    Uncertain,
+    /// No direct call with it was sent, or none could be carried out.
+    NotSent,
+    /// A direct call with it was sent; whatever the result, it may arrive again.
+    Sent,
 }
 
+/// An exited task that waits for a higher fencing token waits this long for others to exit, so that
+/// one raise serves all of them.
+const EXIT_RAISE_DELAY: Micros = Micros::secs(3);
+/// This many exited tasks do not wait for others.
+const MAX_WAITING_EXITS: usize = 32;
+/// Largest number of cleared attempts that are remembered for each machine.
+const MAX_CLEARED_HELD: usize = 64;
+
 /// A start that this controller decided on.
 #[derive(Debug, Clone)]
 pub(super) struct Start {
@@ -27,6 +35,13 @@
     pub(super) in_response_to: Option<(u64, u64)>,
 }
 
+impl Start {
+    /// Whether a worker with this fencing token, in this agent epoch, refuses every call with it.
+    fn is_ruled_out(&self, worker_token: FencingToken, agent_epoch: u64) -> bool {
+        worker_token > self.fencing_token || agent_epoch > self.agent_epoch
+    }
+}
+
 /// The call to a worker that is in flight.
 #[derive(Debug)]
 pub(super) struct DirectCall {
@@ -66,6 +81,12 @@
     pub(super) stops: BTreeMap<(TaskId, Attempt), Stop>,
     /// Exited tasks and the `Sync` that first reported each.
     pub(super) exits: BTreeMap<(TaskId, Attempt), Option<u64>>,
+    /// Since when an exited task has been waiting for a higher fencing token to be cleared.
+    pub(super) exit_waits_since: Option<Micros>,
+    /// Whether the last `Sync` asked for a higher fencing token.
+    pub(super) token_requested: bool,
+    /// The last attempts that had exited and are no longer reported. None may be reported again.
+    cleared: BTreeMap<Attempt, TaskId>,
     pub(super) direct: Option<DirectCall>,
     /// A direct call has to send the worker its new fencing token.
     pub(super) announce_token: bool,
@@ -93,6 +114,9 @@
             starts: BTreeMap::new(),
             stops: BTreeMap::new(),
             exits: BTreeMap::new(),
+            exit_waits_since: None,
+            token_requested: false,
+            cleared: BTreeMap::new(),
             direct: None,
             announce_token: true,
             next_call_at: Micros(0),
@@ -151,13 +175,12 @@
             }
             // After a later agent epoch or a higher fencing token, no earlier command can be
             // executed, and the report does not show the task.
-            if agent_epoch > s.agent_epoch || fencing_token > s.fencing_token {
+            if s.is_ruled_out(fencing_token, agent_epoch) {
                 return false;
             }
-            // The task was there and was cleared. The start is kept while a call with it may still
-            // arrive.
+            // The task was there and was cleared.
             if s.reported {
-                return s.delivery != Delivery::Settled;
+                return s.delivery == Delivery::Sent;
             }
             // A heartbeat after the one whose response carried the start: that response was lost.
             // The start is sent again.
@@ -169,13 +192,85 @@
         self.stops.retain(|k, _| present.contains(k) || self.starts.contains_key(k));
         let exited: BTreeSet<(TaskId, Attempt)> =
             self.tasks.iter().filter(|t| t.state.exited()).map(|t| (t.task, t.attempt)).collect();
-        self.exits.retain(|k, _| exited.contains(k));
+        let before = std::mem::take(&mut self.exits);
+        for (key, first_sync) in before {
+            match exited.contains(&key) {
+                true => drop(self.exits.insert(key, first_sync)),
+                false => self.remember_cleared(key),
+            }
+        }
         for k in exited {
             self.exits.entry(k).or_insert(None);
         }
+        self.exit_waits_since = match self.exits_waiting_for_token() {
+            0 => None,
+            _ => self.exit_waits_since.or(Some(now)),
+        };
         true
     }
 
+    fn remember_cleared(&mut self, (task, attempt): (TaskId, Attempt)) {
+        self.cleared.insert(attempt, task);
+        if self.cleared.len() > MAX_CLEARED_HELD {
+            self.cleared.pop_first();
+        }
+    }
+
+    /// Attempts in the last report that had exited and were cleared before. Each is returned once.
+    pub(super) fn take_reappeared(&mut self) -> Vec<(TaskId, Attempt)> {
+        if self.cleared.is_empty() {
+            return Vec::new();
+        }
+        let reappeared: Vec<(TaskId, Attempt)> = self
+            .tasks
+            .iter()
+            .map(|t| (t.task, t.attempt))
+            .filter(|(_, a)| self.cleared.contains_key(a))
+            .collect();
+        for (_, attempt) in &reappeared {
+            self.cleared.remove(attempt);
+        }
+        reappeared
+    }
+
+    /// Number of tasks in its reports once all pending starts are carried out.
+    pub(super) fn reported_tasks(&self) -> usize {
+        self.tasks.len() + self.starts.keys().filter(|k| !self.has(k)).count()
+    }
+
+    /// Applies a grant of the machine under a higher fencing token.
+    pub(super) fn raise_token(&mut self, fencing_token: FencingToken) {
+        self.fencing_token = fencing_token;
+        self.announce_token = true;
+        self.next_call_at = Micros(0);
+        self.exit_waits_since = None;
+    }
+
+    /// Whether a direct call with the start of this attempt may still be carried out once the worker
+    /// has this fencing token.
+    pub(super) fn is_open(&self, key: &(TaskId, Attempt), worker_token: FencingToken) -> bool {
+        let start = self.starts.get(key).filter(|s| s.delivery == Delivery::Sent);
+        start.is_some_and(|s| !s.is_ruled_out(worker_token, self.agent_epoch))
+    }
+
+    /// Exited tasks that can't be cleared under the present fencing token.
+    pub(super) fn exits_waiting_for_token(&self) -> usize {
+        self.exits.keys().filter(|k| self.is_open(k, self.fencing_token)).count()
+    }
+
+    /// Whether a higher fencing token is due: at once for a start that may still be carried out and
+    /// whose task must not run, and for exited tasks after they have waited.
+    pub(super) fn needs_new_token(&self, state_replica: &StateReplica, now: Micros) -> bool {
+        let must_not_run = |(k, s): (&(TaskId, Attempt), &Start)| {
+            let unwanted =
+                is_finished(state_replica.jobs.get(&k.0.job), k.0.index) || self.stops.contains_key(k);
+            (s.reported || unwanted) && !self.has(k) && self.is_open(k, self.fencing_token)
+        };
+        self.exit_waits_since.is_some_and(|since| now.since(since) >= EXIT_RAISE_DELAY)
+            || self.exit_waits_since.is_some() && self.exits_waiting_for_token() >= MAX_WAITING_EXITS
+            || self.starts.iter().any(must_not_run)
+    }
+
     /// The state of which the leader must be notified at once if a report changes it.
     pub(super) fn urgent_state(&self) -> (u64, (FencingToken, bool), bool, Vec<TaskStatus>, usize) {
         let token_and_commands = (self.seen_fencing_token, self.acknowledges_commands);
--- a/crates/core/src/leader/autoscaling.rs
+++ b/crates/core/src/leader/autoscaling.rs
@@ -327,6 +327,8 @@
                     }
                     to_delete.push((id, "idle"));
                 }
+                // Its token is being raised.
+                Stage::Up if m.is_empty() => {}
                 Stage::Up => m.idle_since = None,
                 Stage::Deleting => {}
             }
--- a/crates/core/src/leader/bindings.rs
+++ b/crates/core/src/leader/bindings.rs
@@ -145,6 +145,7 @@
         }
         let mut reported: BTreeMap<TaskId, (Attempt, TaskState)> = BTreeMap::new();
         let mut exits = Vec::new();
+        m.exited = s.tasks.iter().filter(|t| t.state.exited()).map(|t| t.task).collect();
         for t in &s.tasks {
             if t.state.exited() {
                 exits.push(t.clone());
--- a/crates/core/src/leader/blocks.rs
+++ b/crates/core/src/leader/blocks.rs
@@ -17,9 +17,28 @@
 /// Silent machines that the other controllers are asked to probe in one scan.
 const MAX_PROBES_PER_SCAN: usize = 25;
 
+/// Fencing tokens that are raised for late starts in one scan; the machines whose last grant is the
+/// oldest come first.
+const MAX_TOKEN_RAISES_PER_SCAN: usize = 25;
+/// A machine's fencing token is raised for late starts at most once in this time.
+const TOKEN_RAISE_INTERVAL: Micros = Micros::secs(1);
+/// Assignments under way, which a raise would refuse, delay it for this long after the last grant.
+const TOKEN_RAISE_MAX_DELAY: Micros = Micros::secs(5);
+
 /// How long a new leader waits for the placement log of the earlier term.
 const LOG_WAIT_TIMEOUT: Micros = Micros::millis(1200);
 
+impl Machine {
+    /// Whether its holder has asked for a higher fencing token, and it may be raised now.
+    fn may_raise_token(&self, now: Micros) -> bool {
+        let since_grant = now.since(self.granted_at);
+        self.needs_new_token
+            && self.confirmed
+            && since_grant > TOKEN_RAISE_INTERVAL
+            && (self.reserved.is_empty() || since_grant > TOKEN_RAISE_MAX_DELAY)
+    }
+}
+
 impl Leader {
     pub(super) fn in_contact(&self, n: NodeId, now: Micros) -> bool {
         let last_contact = self.nodes.get(n.0 as usize).and_then(|x| x.last_contact);
@@ -63,8 +82,14 @@
     pub(super) fn grant(&mut self, id: &MachineId, to: NodeId, why: &str, now: Micros) {
         let token = FencingToken(self.next_token());
         let Some(m) = self.machines.get_mut(id) else { return };
-        if m.holder.is_some_and(|h| h != to) {
-            info!("{id}: block moves from controller {} to {}: {why}", m.holder.map_or(0, |h| h.0), to.0);
+        match m.holder {
+            Some(h) if h == to => {
+                info!("{id}: token raised from={} to={} holder={}: {why}", m.fencing_token.0, token.0, to.0)
+            }
+            Some(h) => {
+                info!("{id}: block moves from controller {} to {} token={}: {why}", h.0, to.0, token.0)
+            }
+            None => debug!("{id}: granted to controller {} token={}: {why}", to.0, token.0),
         }
         if m.holder != Some(to) {
             m.holder_contact = Micros(0);
@@ -140,6 +165,7 @@
     pub(super) fn move_machines(&mut self, now: Micros) {
         let mut moves: Vec<(MachineId, NodeId, &'static str)> = Vec::new();
         let mut unheld = Vec::new();
+        let mut raises: Vec<(Micros, MachineId, NodeId)> = Vec::new();
         let mut load = self.loads();
         for (id, m) in &self.machines {
             if m.stage != Stage::Up || !m.recorded {
@@ -158,8 +184,8 @@
                         && (silent || !self.in_contact(h, now))
                     {
                         moves.push((id.clone(), s, "its worker sends heartbeats to that controller"));
-                    } else if m.needs_new_token && m.confirmed && now.since(m.granted_at) > Micros::secs(1) {
-                        moves.push((id.clone(), h, "a new token rules out a delayed start"));
+                    } else if m.may_raise_token(now) {
+                        raises.push((m.granted_at, id.clone(), h));
                     } else if m.confirmed
                         && self.config.zones[h.0 as usize] != m.zone
                         && now.since(m.granted_at) > Micros::secs(10)
@@ -174,6 +200,9 @@
                 }
             }
         }
+        raises.sort();
+        let raises = raises.into_iter().take(MAX_TOKEN_RAISES_PER_SCAN);
+        moves.extend(raises.map(|(_, id, holder)| (id, holder, "a new token rules out late starts")));
         if !moves.is_empty() {
             for (id, to, why) in moves {
                 self.grant(&id, to, why, now);
--- a/crates/core/src/leader/capacity_index.rs
+++ b/crates/core/src/leader/capacity_index.rs
@@ -195,15 +195,17 @@
         }
     }
 
-    /// The best machine for one more task of the job.
+    /// The best machine for the job's task `index`.
     pub(super) fn find_machine(
         &self,
         run: &JobRun,
+        index: u32,
         zones: &BTreeMap<String, u32>,
         now: Micros,
     ) -> Option<MachineId> {
         let spec = &run.spec;
         let may_retry = run.may_retry_on_failed_machine(now);
+        let task = TaskId { job: spec.id, index };
         self.capacity_index.best(&PlacementQuery { spec, zones }, |id| {
             let m = self.machines.get(id)?;
             let accumulates = m.accumulating_job(now).is_some_and(|job| job != spec.id);
@@ -211,8 +213,9 @@
                 m.reserved_priority.is_some_and(|(r, until)| run.urgency.priority < r && now < until)
                     || accumulates && run.urgency.priority < Priority::Production;
             let failed = !may_retry && run.failed_on.contains(id);
+            let has_attempt = m.exited.contains(&task);
             let free = m.free();
-            (!reserved && !failed && free.fits(&spec.task_resources)).then_some(free)
+            (!reserved && !failed && !has_attempt && free.fits(&spec.task_resources)).then_some(free)
         })
     }
 
--- a/crates/core/src/leader/machine.rs
+++ b/crates/core/src/leader/machine.rs
@@ -41,6 +41,8 @@
     /// The holder has received a heartbeat under `fencing_token`, so its task list is complete.
     pub(super) confirmed: bool,
     pub(super) tasks: BTreeMap<TaskId, (Attempt, TaskState)>,
+    /// Tasks with an exited attempt that its worker still has.
+    pub(super) exited: BTreeSet<TaskId>,
     pub(super) started: BTreeMap<TaskId, Micros>,
     pub(super) reserved: BTreeMap<Attempt, Resources>,
     /// Resources that its tasks use; `used_stale` if the tasks changed since it was computed.
@@ -101,6 +103,7 @@
             task_list_token: FencingToken(0),
             confirmed: false,
             tasks: BTreeMap::new(),
+            exited: BTreeSet::new(),
             started: BTreeMap::new(),
             reserved: BTreeMap::new(),
             used: Resources::default(),
@@ -169,6 +172,7 @@
     pub(super) fn accepts_tasks(&self, contact: &[bool], now: Micros) -> bool {
         self.is_reachable(contact)
             && now >= self.command_reachability.trusted_at
+            && self.tasks.len() + self.reserved.len() + self.exited.len() < MAX_REPORTED_TASKS
             && self.last_contact.is_some_and(|t| now.since(t) < Micros::secs(4))
     }
     /// Whether it is usable and its holder is in contact.
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -43,7 +43,7 @@
     Assignment, AssignmentOutcome, GrantedMachine, MachineState, Message, StopRequest, TaskState,
     UnleasedReport,
 };
-use crate::placement::{self, Candidate};
+use crate::placement::{self, Candidate, MAX_REPORTED_TASKS};
 use crate::placement_log::PlacementLog;
 use gorseshore_protocol::cloud::{Flavor, Rentals};
 use gorseshore_protocol::ids::{
--- a/crates/core/src/leader/schedule.rs
+++ b/crates/core/src/leader/schedule.rs
@@ -314,7 +314,7 @@
             return false;
         }
         let zones = self.tasks_per_zone(run);
-        match self.find_machine(run, &zones, now) {
+        match self.find_machine(run, index, &zones, now) {
             Some(machine) if self.should_wait_for_image(id, &machine, now) => {
                 // Preempts batch tasks on a machine that has the image, because a fetch
                 // takes seconds.
--- a/crates/core/src/leader/starvation.rs
+++ b/crates/core/src/leader/starvation.rs
@@ -48,7 +48,7 @@
                 continue;
             }
             let zones = self.tasks_per_zone(run);
-            if let Some(machine) = self.find_machine(run, &zones, now) {
+            if let Some(machine) = self.find_machine(run, index, &zones, now) {
                 let (priority, team, class) =
                     (run.urgency.priority, run.spec.team.clone(), run.spec.class.clone());
                 info!("{id} of class {class} is starved: its first task is assigned before other jobs");
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -289,6 +289,8 @@
             machines_held: self.controller.held_count(),
             leader: self.leader_node().map(|n| n.0),
             term: self.leader_term(),
+            exits_waiting: self.controller.exits_waiting_for_token(),
+            attempts_reappeared: self.controller.reappeared_attempts,
         };
         self.status.line(gauges, self.now)
     }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -131,6 +131,10 @@
     pub machines_held: usize,
     pub leader: Option<u8>,
     pub term: u64,
+    /// Exited tasks that wait for a higher fencing token before they can be cleared.
+    pub exits_waiting: usize,
+    /// Attempts that were reported again after they were cleared; this counter does not restart.
+    pub attempts_reappeared: u64,
 }
 
 impl ServiceStatus {
@@ -306,7 +310,8 @@
             "status interval_ms={} ready={} leader={leader} term={} machines={} revision={} replica_age_ms={} \
              polls_answered={} polls_refused={} polls_abandoned={} oldest_poll_ms={} refused={refused} \
              proofs={proved} proofs_limited={limited} proofs_too_old={too_old} proofs_refused={barriers_refused} \
-             proofs_unanswered={unanswered} proof_slowest_ms={} tick_late_ms={} violations={}",
+             proofs_unanswered={unanswered} proof_slowest_ms={} tick_late_ms={} violations={} \
+             exits_waiting={} attempts_reappeared={}",
             millis(now.since(self.interval_start)),
             gauges.ready,
             gauges.term,
@@ -320,6 +325,8 @@
             millis(self.slowest_barrier),
             millis(self.tick_late),
             self.violations,
+            gauges.exits_waiting,
+            gauges.attempts_reappeared,
         )
     }
 }
--- a/crates/core/src/node/status/tests.rs
+++ b/crates/core/src/node/status/tests.rs
@@ -1,6 +1,14 @@
 use super::*;
 
-const GAUGES: Gauges = Gauges { revision: 7, ready: true, machines_held: 2, leader: Some(1), term: 4 };
+const GAUGES: Gauges = Gauges {
+    revision: 7,
+    ready: true,
+    machines_held: 2,
+    leader: Some(1),
+    term: 4,
+    exits_waiting: 3,
+    attempts_reappeared: 1,
+};
 
 fn answer(id: u64, status: u16) -> Output {
     Output::Response { id: RequestId(id), status, body: Vec::new(), retry_after: None }
@@ -41,6 +49,8 @@
         "proof_slowest_ms=1200",
         "tick_late_ms=300",
         "violations=0",
+        "exits_waiting=3",
+        "attempts_reappeared=1",
     ];
     for field in expected {
         assert!(line.split(' ').any(|word| word == field), "{field} in {line}");
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -2,6 +2,10 @@
 use gorseshore_protocol::ids::Resources;
 use gorseshore_protocol::job::{JobSpec, Kind};
 
+/// No task is placed on a machine whose worker has this many, exited ones included: a report of
+/// them all has to fit into 64 KiB.
+pub const MAX_REPORTED_TASKS: usize = 500;
+
 /// The attributes of a machine that placement uses.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a machine and its worker agent, implemented from the protocol.
 use gorseshore_protocol::workers::{Command, CommandRequest, Report, ReportedTask};
+use std::collections::BTreeSet;
 
 /// State of a task; times are in microseconds of the caller's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -73,6 +74,10 @@
     pub last_report_at: u64,
     /// Whether there are changes that no report contains yet.
     pub has_changes: bool,
+    /// Attempts whose start was carried out: agent epoch, task and attempt.
+    started: BTreeSet<(u64, String, u64)>,
+    /// Starts of attempts that were started in the same agent epoch before, and cleared.
+    pub repeated_starts: Vec<String>,
 }
 
 /// How the tasks of a job behave on a worker.
@@ -112,6 +117,8 @@
             lease_start: up_at,
             last_report_at: 0,
             has_changes: false,
+            started: BTreeSet::new(),
+            repeated_starts: Vec::new(),
         }
     }
 
@@ -173,6 +180,9 @@
             match (o.action.as_str(), at) {
                 ("run", Some(_)) => {}
                 ("run", None) => {
+                    if !self.started.insert((self.agent_epoch, o.task.clone(), o.attempt)) {
+                        self.repeated_starts.push(format!("{}@{} on {}", o.task, o.attempt, self.name));
+                    }
                     let used_cpus: f64 = self
                         .tasks
                         .iter()
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -21,6 +21,7 @@
 mod past_jobs;
 mod pipelines;
 mod random_faults;
+mod repeated_commands;
 mod request_validation;
 mod scenarios;
 mod users;
@@ -93,6 +94,9 @@
     pipelines: bool,
     /// Settled jobs that a controller holds in memory, if it is not the usual number.
     settled_jobs_held: Option<usize>,
+    /// One direct command in this many, of those that were carried out, arrives once more; 0 for
+    /// none.
+    repeat_one_in: u32,
 }
 
 const SMALL: Size = Size {
@@ -118,6 +122,7 @@
     long_arrays: 0,
     pipelines: false,
     settled_jobs_held: None,
+    repeat_one_in: 0,
 };
 /// The small simulation with Nomad clients, and with values so short that one Nomad job takes
 /// several of them.
@@ -317,6 +322,9 @@
     ProbeTimeout(RequestId),
     UserTimeout(RequestId),
     LowerLimits,
+    /// A direct command that was carried out before arrives once more; its answer is discarded.
+    RepeatedCommand(Call),
+    RepeatStarts,
     /// A duplicate of a request; its answer is discarded.
     Duplicate(usize, &'static str, String, Vec<u8>),
 }
@@ -392,6 +400,7 @@
     pipelines: pipelines::Observations,
     load: load::Load,
     balanced: balanced_users::Observations,
+    repetitions: repeated_commands::Repetitions,
 }
 
 impl World {
@@ -439,6 +448,7 @@
             pipelines: pipelines::Observations::new(seed),
             load: load::Load::new(size.nodes),
             balanced: balanced_users::Observations::default(),
+            repetitions: repeated_commands::Repetitions::new(seed, size.repeat_one_in),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -818,6 +828,7 @@
             }
         }
         self.check_all();
+        self.check_repeated_starts();
     }
 
     fn handle_checkin_answer(&mut self, name: &str, key: u64, status: u16, body: &[u8]) {
@@ -1025,6 +1036,8 @@
                     self.deliver_on_time(n, input);
                 }
             }
+            Event::RepeatedCommand(call) => self.carry_out_again(&call),
+            Event::RepeatStarts => self.repeat_starts(),
             Event::Duplicate(n, method, path, body) => {
                 let id = RequestId(self.next_request);
                 self.next_request += 1;
@@ -1071,6 +1084,9 @@
                     let d: CommandRequest = serde_json::from_slice(&call.body).unwrap();
                     m.apply_command_request(&d, f, now)
                 });
+                if call.path == "/do" && matches!(out, Some((200, _))) {
+                    self.repeat_command(&call);
+                }
                 let partition_end = self.machines.get(&addr).map_or(1, |m| self.machine_partition_end(n, m));
                 out.filter(|_| partition_end == 0)
             }
--- /dev/null
+++ b/tests/world/repeated_commands.rs
@@ -0,0 +1,274 @@
+//! Direct commands to workers that were carried out and answered, and arrive once more. Nobody
+//! waits for the second answer. The worker carries a command out again as long as its fencing token
+//! and agent epoch still match, so that a start whose attempt was cleared would start it again.
+use super::scenarios::Action::{self, *};
+use super::scenarios::{Controllers::*, Workload, long_jobs_sized};
+use super::*;
+use std::collections::BTreeSet;
+
+/// Delay of a repetition in random simulations: up to several worker leases.
+const DELAY: std::ops::Range<u64> = 300 * MS..60 * S;
+/// In scenes every start is repeated at this interval, so that one follows every other event.
+const SCENE_INTERVAL: u64 = 100 * MS;
+
+/// Commands that are repeated.
+pub struct Repetitions {
+    /// Independent of the simulation's other random choices.
+    rng: fastrand::Rng,
+    /// One call in this many is repeated; 0 for none.
+    one_in: u32,
+    /// In a scene: the calls with starts that were carried out.
+    starts: Option<Vec<Call>>,
+    /// Calls that were carried out once more.
+    pub carried_out: usize,
+}
+
+impl Repetitions {
+    pub fn new(seed: u64, one_in: u32) -> Self {
+        Repetitions { rng: fastrand::Rng::with_seed(seed), one_in, starts: None, carried_out: 0 }
+    }
+}
+
+impl World {
+    /// Plans the repetition of a call that a worker has carried out and answered.
+    pub fn repeat_command(&mut self, call: &Call) {
+        if let Some(starts) = &mut self.repetitions.starts {
+            let request: CommandRequest = serde_json::from_slice(&call.body).unwrap();
+            let has_start = request.commands.iter().any(|c| c.action == "run");
+            if has_start && !starts.iter().any(|kept| kept.body == call.body) {
+                starts.push(call.clone());
+            }
+        }
+        let one_in = self.repetitions.one_in;
+        if one_in > 0 && self.repetitions.rng.u32(0..one_in) == 0 {
+            let late = self.repetitions.rng.u64(DELAY);
+            self.at(late, Event::RepeatedCommand(call.clone()));
+        }
+    }
+
+    /// Carries out a command once more.
+    pub fn carry_out_again(&mut self, call: &Call) {
+        let Target::Worker(addr) = &call.target else { return };
+        let (now, lease) = (self.now, self.size.lease);
+        let hung = self.machines.get(addr).map_or(0, |m| m.hung_until);
+        if hung > now {
+            return self.at(hung - now + 500, Event::RepeatedCommand(call.clone()));
+        }
+        let request: CommandRequest = serde_json::from_slice(&call.body).unwrap();
+        let answer = self.with_machine(addr, |m, profile_of, now| {
+            m.enforce_lease(now, lease);
+            m.apply_command_request(&request, profile_of, now)
+        });
+        self.repetitions.carried_out += matches!(answer, Some((200, _))) as usize;
+    }
+
+    /// In a scene: all starts arrive once more.
+    pub fn repeat_starts(&mut self) {
+        for call in self.repetitions.starts.clone().unwrap_or_default() {
+            self.carry_out_again(&call);
+        }
+        self.at(SCENE_INTERVAL, Event::RepeatStarts);
+    }
+
+    /// Checks that no machine carries out the start of an attempt twice.
+    pub fn check_repeated_starts(&mut self) {
+        let repeated = self.machines.values_mut().flat_map(|m| std::mem::take(&mut m.repeated_starts));
+        for start in repeated.collect::<Vec<_>>() {
+            self.report_violation("started_again", start);
+        }
+    }
+}
+
+/// An exited attempt is cleared within this time where nothing fails.
+const MAX_CLEAR_TIME: u64 = 15 * S;
+
+/// What happens in a scene.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Every third machine fails its tasks until `MachinesRecover`.
+    MachinesFailTasks,
+    MachinesRecover,
+    /// Users submit a service that has priority over the running tasks and needs all capacity.
+    SubmitUrgentService,
+    Perform(Action),
+}
+use Step::*;
+
+struct Scene {
+    name: &'static str,
+    /// Run time of each task.
+    run_us: u64,
+    /// Time after the first repetition, and what happens then.
+    steps: &'static [(u64, Step)],
+}
+
+/// A restart within 68 ms, in thousandths of the time that a cancellation may take.
+const AT_ONCE: u64 = 2;
+
+const SCENES: &[Scene] = &[
+    Scene {
+        name: "a_task_fails_and_runs_elsewhere",
+        run_us: 60 * S,
+        steps: &[(S, MachinesFailTasks), (6 * S, MachinesRecover)],
+    },
+    Scene { name: "tasks_are_done", run_us: 12 * S, steps: &[] },
+    Scene {
+        name: "tasks_are_preempted_and_moved",
+        run_us: 60 * S,
+        steps: &[(S, SubmitUrgentService), (20 * S, Perform(Cancel(All)))],
+    },
+    Scene {
+        name: "a_cancellation_is_confirmed_and_its_tasks_are_cleared",
+        run_us: 400 * S,
+        steps: &[(S, Perform(Cancel(Leader)))],
+    },
+    Scene {
+        name: "the_controllers_are_back_at_once",
+        run_us: 14 * S,
+        steps: &[
+            (S, MachinesFailTasks),
+            (2 * S, Perform(Terminate(Other(1), AT_ONCE))),
+            (4 * S, MachinesRecover),
+            (9 * S, Perform(Terminate(Other(2), AT_ONCE))),
+            (15 * S, Perform(Terminate(All, AT_ONCE))),
+        ],
+    },
+    Scene {
+        name: "the_leader_is_back_at_once",
+        run_us: 14 * S,
+        steps: &[
+            (S, MachinesFailTasks),
+            (2 * S, Perform(Terminate(Leader, AT_ONCE))),
+            (4 * S, MachinesRecover),
+            (10 * S, Perform(LeaderChanges(4))),
+        ],
+    },
+    Scene {
+        name: "machines_change_their_holder",
+        run_us: 14 * S,
+        steps: &[
+            (S, MachinesFailTasks),
+            (2 * S, Perform(Terminate(Other(1), 400))),
+            (4 * S, MachinesRecover),
+            (10 * S, Perform(Isolated(Other(2), 500))),
+        ],
+    },
+    Scene {
+        name: "workers_begin_a_new_session",
+        run_us: 14 * S,
+        steps: &[(S, MachinesFailTasks), (2 * S, Perform(MachinesHang(500))), (20 * S, MachinesRecover)],
+    },
+    Scene {
+        name: "nobody_can_raise_a_token",
+        run_us: 8 * S,
+        steps: &[(S, Perform(StateOutage(800))), (2 * S, Perform(Terminate(Leader, 600)))],
+    },
+];
+
+fn perform_step(w: &mut World, step: Step) {
+    match step {
+        MachinesFailTasks => w.machines.values_mut().step_by(3).for_each(|m| m.fails_all_tasks = true),
+        MachinesRecover => w.machines.values_mut().for_each(|m| m.fails_all_tasks = false),
+        SubmitUrgentService => {
+            // No more machines can be rented.
+            w.size.capacity = [0, 0];
+            let j = w.jobs.len();
+            let body = json!({"ref": format!("j-{j:06}"), "lot": "urgent", "crew": "free",
+                "manner": "standing", "rank": "prod", "pieces": 60, "cpus": 4.0, "gpus": 0.0,
+                "memory_gb": 1.0, "bundle": "i", "image_gb": 0.4, "builds": null, "yard": null,
+                "same_place": false, "apart": false, "loaners": false, "guess_s": 0.0, "mark_s": 0.0,
+                "stow_s": 0.0, "due_s": null});
+            let job = Job::new(body, "free", true, 60, 4.0, 400 * S);
+            w.jobs.push(job);
+        }
+        Perform(action) => {
+            let leader = w.nodes.iter().position(|n| n.as_ref().is_some_and(Node::leads)).unwrap_or(0);
+            w.perform(leader, action);
+        }
+    }
+}
+
+/// Plays a scene with three controllers, and returns it at its end.
+fn play(scene: &Scene, seed: u64) -> World {
+    let mut w = long_jobs_sized(seed, Workload::Single, SMALL);
+    let running = w.jobs.len();
+    for j in 0..12 {
+        let job = &w.jobs[j];
+        let mut body = job.body.clone();
+        body["ref"] = json!(format!("j-{:06}", running + j));
+        body["manner"] = json!("array");
+        body["rank"] = json!("standard");
+        body["pieces"] = json!(4);
+        let job = Job::new(body, "free", false, 4, job.cpus, scene.run_us);
+        w.jobs.push(job);
+    }
+    w.repetitions.starts = Some(Vec::new());
+    w.at(0, Event::RepeatStarts);
+    w.run(w.now + 6 * S);
+    let start = w.now;
+    for (after, step) in scene.steps {
+        w.run(start + after);
+        perform_step(&mut w, *step);
+    }
+    w.run(start + 150 * S);
+    w
+}
+
+/// The exited attempts that machines still have.
+fn exited_attempts(w: &World) -> BTreeSet<(String, u64)> {
+    let tasks = w.machines.values().flat_map(|m| &m.tasks);
+    let exited = tasks.filter(|t| matches!(t.stage, Stage::Exited(_)));
+    exited.map(|t| (t.name.clone(), t.attempt)).collect()
+}
+
+fn assert_no_violation(name: &str) {
+    let scene = SCENES.iter().find(|s| s.name == name).expect("a scene");
+    let mut repeated = 0;
+    for seed in seeds("REPEATED_SEEDS", 1, 5) {
+        let mut w = play(scene, seed);
+        assert!(w.violations.is_empty(), "{name}, seed {seed}: {:?}", w.violations);
+        repeated += w.repetitions.carried_out;
+        let exited = exited_attempts(&w);
+        w.run(w.now + MAX_CLEAR_TIME);
+        let left: Vec<_> = exited_attempts(&w).intersection(&exited).cloned().collect();
+        assert!(left.is_empty(), "{name}, seed {seed}: not cleared: {left:?}");
+    }
+    assert!(repeated > 100, "{name}: only {repeated} repetitions were carried out");
+}
+
+macro_rules! scene_tests {
+    ($($name:ident),* $(,)?) => {
+        /// Each of these guards against a start that is carried out a second time.
+        mod scenes {
+            $(#[test]
+            fn $name() {
+                super::assert_no_violation(stringify!($name));
+            })*
+        }
+    };
+}
+scene_tests!(
+    a_task_fails_and_runs_elsewhere,
+    tasks_are_done,
+    tasks_are_preempted_and_moved,
+    a_cancellation_is_confirmed_and_its_tasks_are_cleared,
+    the_controllers_are_back_at_once,
+    the_leader_is_back_at_once,
+    machines_change_their_holder,
+    workers_begin_a_new_session,
+    nobody_can_raise_a_token,
+);
+
+/// The random faults of `random_faults_violate_no_invariant` with repeated commands.
+#[test]
+fn random_faults_with_repeated_commands_violate_no_invariant() {
+    let mut repeated = 0;
+    for seed in seeds("REPEATED_FAULTS_SEEDS", 100, 124) {
+        let w = simulate(seed, false, Size { repeat_one_in: 4, ..SMALL });
+        assert!(w.violations.is_empty(), "seed {seed}: {:?}", w.violations);
+        let unfinished = w.unfinished_jobs();
+        assert!(unfinished.len() <= 1, "seed {seed}: {:?} have not ended", w.describe(&unfinished));
+        repeated += w.repetitions.carried_out;
+    }
+    assert!(repeated > 0, "no command was repeated");
+}
