--- a/tests/world/fast_restarts.rs
+++ b/tests/world/fast_restarts.rs
@@ -7,7 +7,7 @@
 
 pub const FAST_RESTARTS: Size = Size { busy_until: 120 * S, end_at: 280 * S, fast_restarts: true, ..SMALL };
 /// Seven controllers that read the whole state within a tight request budget.
-const SEVEN_CONTROLLERS_FAST_RESTARTS: Size = Size { requests_per_s: 100.0, ..LARGE_FAST_RESTARTS };
+pub const SEVEN_CONTROLLERS_FAST_RESTARTS: Size = Size { requests_per_s: 100.0, ..LARGE_FAST_RESTARTS };
 const LARGE_FAST_RESTARTS: Size = Size { busy_until: 60 * S, end_at: 200 * S, fast_restarts: true, ..LARGE };
 
 /// Downtimes of a restarted process.
--- a/tests/world/partial_failures.rs
+++ b/tests/world/partial_failures.rs
@@ -11,7 +11,7 @@
     Size { capacity: [9, 9], jobs: 8, busy_until: 150 * S, end_at: 400 * S, partial_failures: true, ..SMALL };
 /// Seven controllers, so that a worker that finds none available takes longer than its lease to try
 /// all of them.
-const SEVEN_CONTROLLERS_PARTIAL_FAILURES: Size = Size {
+pub const SEVEN_CONTROLLERS_PARTIAL_FAILURES: Size = Size {
     nodes: 7,
     requests_per_s: 100.0,
     writes_per_s: 15.0,
--- a/tests/world/repeated_commands.rs
+++ b/tests/world/repeated_commands.rs
@@ -1,6 +1,8 @@
 //! Direct commands to workers that were carried out and answered, and arrive once more. Nobody
 //! waits for the second answer. The worker carries a command out again as long as its fencing token
 //! and agent epoch still match, so that a start whose attempt was cleared would start it again.
+use super::fast_restarts::{FAST_RESTARTS, SEVEN_CONTROLLERS_FAST_RESTARTS};
+use super::partial_failures::{PARTIAL_FAILURES, SEVEN_CONTROLLERS_PARTIAL_FAILURES};
 use super::scenarios::Action::{self, *};
 use super::scenarios::{Controllers::*, Workload, long_jobs_sized};
 use super::*;
@@ -259,16 +261,57 @@
     nobody_can_raise_a_token,
 );
 
-/// The random faults of `random_faults_violate_no_invariant` with repeated commands.
-#[test]
-fn random_faults_with_repeated_commands_violate_no_invariant() {
+/// Random simulations with a quarter of the direct commands repeated.
+fn assert_random_faults_hold(size: Size, seeds: std::ops::Range<u64>) {
     let mut repeated = 0;
-    for seed in seeds("REPEATED_FAULTS_SEEDS", 100, 124) {
-        let w = simulate(seed, false, Size { repeat_one_in: 4, ..SMALL });
+    for seed in seeds {
+        let w = simulate(seed, false, Size { repeat_one_in: 4, ..size });
         assert!(w.violations.is_empty(), "seed {seed}: {:?}", w.violations);
         let unfinished = w.unfinished_jobs();
         assert!(unfinished.len() <= 1, "seed {seed}: {:?} have not ended", w.describe(&unfinished));
         repeated += w.repetitions.carried_out;
     }
+    println!("{repeated} repetitions were carried out");
     assert!(repeated > 0, "no command was repeated");
 }
+
+#[test]
+fn random_faults_with_repeated_commands() {
+    assert_random_faults_hold(SMALL, seeds("REPEATED_FAULTS_SEEDS", 100, 124));
+}
+
+#[test]
+fn random_faults_with_repeated_commands_in_a_large_cluster() {
+    assert_random_faults_hold(LARGE, seeds("REPEATED_LARGE_SEEDS", 40, 42));
+}
+
+#[test]
+fn fast_restarts_with_repeated_commands() {
+    assert_random_faults_hold(FAST_RESTARTS, seeds("REPEATED_RESTARTS_SEEDS", 0, 6));
+}
+
+#[test]
+fn fast_restarts_of_seven_controllers_with_repeated_commands() {
+    assert_random_faults_hold(SEVEN_CONTROLLERS_FAST_RESTARTS, seeds("REPEATED_RESTARTS_7_SEEDS", 0, 1));
+}
+
+#[test]
+fn partial_failures_with_repeated_commands() {
+    assert_random_faults_hold(PARTIAL_FAILURES, seeds("REPEATED_PARTIAL_SEEDS", 0, 6));
+}
+
+#[test]
+fn partial_failures_of_seven_controllers_with_repeated_commands() {
+    let seeds = seeds("REPEATED_PARTIAL_7_SEEDS", 0, 2);
+    assert_random_faults_hold(SEVEN_CONTROLLERS_PARTIAL_FAILURES, seeds);
+}
+
+#[test]
+fn nomad_jobs_with_repeated_commands() {
+    assert_random_faults_hold(SMALL_WITH_NOMAD, seeds("REPEATED_NOMAD_SEEDS", 0, 4));
+}
+
+#[test]
+fn pipelines_with_repeated_commands() {
+    assert_random_faults_hold(Size { pipelines: true, ..SMALL }, seeds("REPEATED_PIPELINES_SEEDS", 0, 4));
+}
