World: transactions, rentals, deletions and messages that arrive once more

Random simulations of every size now also repeat a quarter of the changes that the state service has made, of the rentals and deletions, and a sixteenth of the messages between controllers, 0.3 to 60 s late (messages were repeated by 3 s at most). A worker refuses a task of which it has another attempt also where that attempt has exited, as the protocol says of tasks on the machine. Workers that lose their memory break no rule without repetitions; with them they do, since nothing of the first session is refused any more.

--- a/crates/core/src/leader/tests.rs
+++ b/crates/core/src/leader/tests.rs
@@ -1,4 +1,5 @@
 //! Leader: binding and release of tasks, deletion of machines, limits, rentals, cancellations.
+mod late_starts;
 mod lateness;
 mod limits;
 mod task_assignments;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// The agent restarts with nothing in memory, as if the machine had just booted.
+    pub fn lose_memory(&mut self, now: u64) {
+        self.tasks.clear();
+        (self.agent_epoch, self.sequence, self.fencing_token) = (1, 0, 0);
+        self.outstanding_report = None;
+        (self.lease_start, self.next_report_at) = (now, now);
+        self.has_changes = true;
+    }
+
     /// Builds a report of the current state with the next sequence number.
     pub fn report(&mut self) -> Report {
         self.sequence += 1;
@@ -192,14 +201,8 @@
                         .sum();
                     let stage = match profile_of(&o.task) {
                         None => Stage::Exited("no_such"),
-                        Some(_)
-                            if self
-                                .tasks
-                                .iter()
-                                .any(|t| t.name == o.task && !matches!(t.stage, Stage::Exited(_))) =>
-                        {
-                            Stage::Exited("busy")
-                        }
+                        // Another attempt, also an exited one that is not cleared yet.
+                        Some(_) if self.tasks.iter().any(|t| t.name == o.task) => Stage::Exited("busy"),
                         Some(f) if used_cpus + f.cpus > self.cpus + 1e-9 => Stage::Exited("no_room"),
                         Some(_) => Stage::PullingImage(now + 400_000),
                     };
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -97,6 +97,8 @@
     /// One direct command in this many, of those that were carried out, arrives once more; 0 for
     /// none.
     repeat_one_in: u32,
+    /// The same for transactions, requests to the cloud and messages between controllers.
+    repeat_others_one_in: u32,
 }
 
 const SMALL: Size = Size {
@@ -123,6 +125,7 @@
     pipelines: false,
     settled_jobs_held: None,
     repeat_one_in: 0,
+    repeat_others_one_in: 0,
 };
 /// The small simulation with Nomad clients, and with values so short that one Nomad job takes
 /// several of them.
@@ -324,6 +327,8 @@
     LowerLimits,
     /// A direct command that was carried out before arrives once more; its answer is discarded.
     RepeatedCommand(Call),
+    /// The same for a call to the state service or the cloud.
+    RepeatedCall(Call),
     RepeatStarts,
     /// A duplicate of a request; its answer is discarded.
     Duplicate(usize, &'static str, String, Vec<u8>),
@@ -448,7 +453,7 @@
             pipelines: pipelines::Observations::new(seed),
             load: load::Load::new(size.nodes),
             balanced: balanced_users::Observations::default(),
-            repetitions: repeated_commands::Repetitions::new(seed, size.repeat_one_in),
+            repetitions: repeated_commands::Repetitions::new(seed, &size),
         };
         for i in 0..size.nodes {
             w.nodes.push(None);
@@ -624,6 +629,7 @@
                         let again = self.rng.u64(0..3 * S);
                         self.at(late + d + again, Event::Peer(n, to, incarnation, message.clone()));
                     }
+                    self.repeat_message(n, to, incarnation, &message);
                     self.at(late + d, Event::Peer(n, to, incarnation, message));
                 }
             }
@@ -1037,6 +1043,7 @@
                 }
             }
             Event::RepeatedCommand(call) => self.carry_out_again(&call),
+            Event::RepeatedCall(call) => self.carry_out_call_again(&call),
             Event::RepeatStarts => self.repeat_starts(),
             Event::Duplicate(n, method, path, body) => {
                 let id = RequestId(self.next_request);
@@ -1057,7 +1064,9 @@
                 if refused && call.path.contains("hold_ms=0") {
                     Some((503, Vec::new()))
                 } else {
-                    match self.state.request(call.method, &call.path, &call.body, now) {
+                    let outcome = self.state.request(call.method, &call.path, &call.body, now);
+                    self.repeat_write(&call, &outcome);
+                    match outcome {
                         Outcome::Answer(status, body) if !refused => Some((status, body)),
                         Outcome::Answer(..) => None,
                         Outcome::Wait { prefix, from, until } => {
@@ -1067,7 +1076,11 @@
                     }
                 }
             }
-            Target::Cloud => Some(self.handle_cloud_call(call.method, &call.path, &call.body)),
+            Target::Cloud => {
+                let answer = self.handle_cloud_call(call.method, &call.path, &call.body);
+                self.repeat_cloud_call(&call, answer.0);
+                Some(answer)
+            }
             Target::Worker(addr) => {
                 let (addr, lease) = (addr.clone(), self.size.lease);
                 let hung = self.machines.get(&addr).map_or(0, |m| m.hung_until);
--- a/tests/world/repeated_commands.rs
+++ b/tests/world/repeated_commands.rs
@@ -19,15 +19,31 @@
     rng: fastrand::Rng,
     /// One call in this many is repeated; 0 for none.
     one_in: u32,
+    /// The same for other requests.
+    others_one_in: u32,
     /// In a scene: the calls with starts that were carried out.
     starts: Option<Vec<Call>>,
     /// Calls that were carried out once more.
     pub carried_out: usize,
+    /// Transactions that were carried out once more, and whose conditions held.
+    pub transactions: usize,
 }
 
 impl Repetitions {
-    pub fn new(seed: u64, one_in: u32) -> Self {
-        Repetitions { rng: fastrand::Rng::with_seed(seed), one_in, starts: None, carried_out: 0 }
+    pub fn new(seed: u64, size: &Size) -> Self {
+        Repetitions {
+            rng: fastrand::Rng::with_seed(seed),
+            one_in: size.repeat_one_in,
+            others_one_in: size.repeat_others_one_in,
+            starts: None,
+            carried_out: 0,
+            transactions: 0,
+        }
+    }
+
+    /// Whether one of this many requests is repeated, and how much later.
+    fn delay(&mut self, one_in: u32) -> Option<u64> {
+        (one_in > 0 && self.rng.u32(0..one_in) == 0).then(|| self.rng.u64(DELAY))
     }
 }
 
@@ -41,13 +57,56 @@
                 starts.push(call.clone());
             }
         }
-        let one_in = self.repetitions.one_in;
-        if one_in > 0 && self.repetitions.rng.u32(0..one_in) == 0 {
-            let late = self.repetitions.rng.u64(DELAY);
+        if let Some(late) = self.repetitions.delay(self.repetitions.one_in) {
             self.at(late, Event::RepeatedCommand(call.clone()));
         }
     }
 
+    /// Plans the repetition of a change that the state service has made: a transaction, or a lease
+    /// that was granted, renewed or ended.
+    pub fn repeat_write(&mut self, call: &Call, outcome: &Outcome) {
+        if call.method != "GET"
+            && matches!(outcome, Outcome::Answer(200, _))
+            && let Some(late) = self.repetitions.delay(self.repetitions.others_one_in)
+        {
+            self.at(late, Event::RepeatedCall(call.clone()));
+        }
+    }
+
+    /// The same for a rental or a deletion.
+    pub fn repeat_cloud_call(&mut self, call: &Call, status: u16) {
+        if call.method == "POST"
+            && status == 200
+            && let Some(late) = self.repetitions.delay(self.repetitions.others_one_in)
+        {
+            self.at(late, Event::RepeatedCall(call.clone()));
+        }
+    }
+
+    /// Plans the repetition of a message to another controller.
+    pub fn repeat_message(
+        &mut self,
+        from: usize,
+        to: usize,
+        incarnation: u64,
+        message: &gorseshore_core::peer::Message,
+    ) {
+        if let Some(late) = self.repetitions.delay(self.repetitions.others_one_in * 4) {
+            self.at(late, Event::Peer(from, to, incarnation, message.clone()));
+        }
+    }
+
+    /// Carries out a call to the state service or the cloud once more.
+    pub fn carry_out_call_again(&mut self, call: &Call) {
+        if matches!(call.target, Target::Cloud) {
+            self.handle_cloud_call(call.method, &call.path, &call.body);
+            return;
+        }
+        let outcome = self.state.request(call.method, &call.path, &call.body, self.now);
+        let changed = call.path == "/multi" && matches!(outcome, Outcome::Answer(200, _));
+        self.repetitions.transactions += changed as usize;
+    }
+
     /// Carries out a command once more.
     pub fn carry_out_again(&mut self, call: &Call) {
         let Target::Worker(addr) = &call.target else { return };
@@ -90,6 +149,8 @@
     /// Every third machine fails its tasks until `MachinesRecover`.
     MachinesFailTasks,
     MachinesRecover,
+    /// Every third worker restarts within a second, with nothing in memory.
+    WorkersLoseMemory,
     /// Users submit a service that has priority over the running tasks and needs all capacity.
     SubmitUrgentService,
     Perform(Action),
@@ -170,6 +231,10 @@
 fn perform_step(w: &mut World, step: Step) {
     match step {
         MachinesFailTasks => w.machines.values_mut().step_by(3).for_each(|m| m.fails_all_tasks = true),
+        WorkersLoseMemory => {
+            let now = w.now;
+            w.machines.values_mut().step_by(3).for_each(|m| m.lose_memory(now));
+        }
         MachinesRecover => w.machines.values_mut().for_each(|m| m.fails_all_tasks = false),
         SubmitUrgentService => {
             // No more machines can be rented.
@@ -190,8 +255,9 @@
     }
 }
 
-/// Plays a scene with three controllers, and returns it at its end.
-fn play(scene: &Scene, seed: u64) -> World {
+/// Plays a scene with three controllers, in which every start is repeated or none; returns it at its
+/// end.
+fn play(scene: &Scene, seed: u64, repeat: bool) -> World {
     let mut w = long_jobs_sized(seed, Workload::Single, SMALL);
     let running = w.jobs.len();
     for j in 0..12 {
@@ -204,8 +270,10 @@
         let job = Job::new(body, "free", false, 4, job.cpus, scene.run_us);
         w.jobs.push(job);
     }
-    w.repetitions.starts = Some(Vec::new());
-    w.at(0, Event::RepeatStarts);
+    if repeat {
+        w.repetitions.starts = Some(Vec::new());
+        w.at(0, Event::RepeatStarts);
+    }
     w.run(w.now + 6 * S);
     let start = w.now;
     for (after, step) in scene.steps {
@@ -227,7 +295,7 @@
     let scene = SCENES.iter().find(|s| s.name == name).expect("a scene");
     let mut repeated = 0;
     for seed in seeds("REPEATED_SEEDS", 1, 5) {
-        let mut w = play(scene, seed);
+        let mut w = play(scene, seed, true);
         assert!(w.violations.is_empty(), "{name}, seed {seed}: {:?}", w.violations);
         repeated += w.repetitions.carried_out;
         let exited = exited_attempts(&w);
@@ -261,57 +329,85 @@
     nobody_can_raise_a_token,
 );
 
-/// Random simulations with a quarter of the direct commands repeated.
+/// A worker that restarts with nothing in memory accepts every command of its first session again,
+/// so that this holds without repetitions only.
+#[test]
+fn workers_that_lose_their_memory_break_no_rule() {
+    let scene = Scene {
+        name: "workers_lose_their_memory",
+        run_us: 14 * S,
+        steps: &[(S, MachinesFailTasks), (3 * S, WorkersLoseMemory), (4 * S, MachinesRecover)],
+    };
+    for seed in seeds("REPEATED_SEEDS", 1, 5) {
+        let w = play(&scene, seed, false);
+        assert!(w.violations.is_empty(), "seed {seed}: {:?}", w.violations);
+        let short: Vec<usize> =
+            w.unfinished_jobs().into_iter().filter(|j| w.jobs[*j].run_us == scene.run_us).collect();
+        assert!(short.is_empty(), "seed {seed}: {:?} have not ended", w.describe(&short));
+    }
+}
+
+impl Size {
+    /// Repeats a quarter of the direct commands, and one in four other requests or in as many as
+    /// `REPEAT_OTHERS` says (0 for none).
+    fn with_repeated_requests(self) -> Self {
+        let given = std::env::var("REPEAT_OTHERS").ok().and_then(|n| n.parse().ok());
+        Size { repeat_one_in: 4, repeat_others_one_in: given.unwrap_or(4), ..self }
+    }
+}
+
+/// Random simulations with repeated requests of every kind.
 fn assert_random_faults_hold(size: Size, seeds: std::ops::Range<u64>) {
-    let mut repeated = 0;
+    let (mut repeated, mut transactions) = (0, 0);
     for seed in seeds {
-        let w = simulate(seed, false, Size { repeat_one_in: 4, ..size });
+        let w = simulate(seed, false, size.with_repeated_requests());
         assert!(w.violations.is_empty(), "seed {seed}: {:?}", w.violations);
         let unfinished = w.unfinished_jobs();
         assert!(unfinished.len() <= 1, "seed {seed}: {:?} have not ended", w.describe(&unfinished));
         repeated += w.repetitions.carried_out;
+        transactions += w.repetitions.transactions;
     }
-    println!("{repeated} repetitions were carried out");
-    assert!(repeated > 0, "no command was repeated");
+    println!("{repeated} repetitions were carried out, and {transactions} transactions");
+    assert!(repeated > 0 && transactions > 0, "no request was repeated");
 }
 
 #[test]
-fn random_faults_with_repeated_commands() {
+fn random_faults_with_repeated_requests() {
     assert_random_faults_hold(SMALL, seeds("REPEATED_FAULTS_SEEDS", 100, 124));
 }
 
 #[test]
-fn random_faults_with_repeated_commands_in_a_large_cluster() {
+fn random_faults_with_repeated_requests_in_a_large_cluster() {
     assert_random_faults_hold(LARGE, seeds("REPEATED_LARGE_SEEDS", 40, 42));
 }
 
 #[test]
-fn fast_restarts_with_repeated_commands() {
+fn fast_restarts_with_repeated_requests() {
     assert_random_faults_hold(FAST_RESTARTS, seeds("REPEATED_RESTARTS_SEEDS", 0, 6));
 }
 
 #[test]
-fn fast_restarts_of_seven_controllers_with_repeated_commands() {
+fn fast_restarts_of_seven_controllers_with_repeated_requests() {
     assert_random_faults_hold(SEVEN_CONTROLLERS_FAST_RESTARTS, seeds("REPEATED_RESTARTS_7_SEEDS", 0, 1));
 }
 
 #[test]
-fn partial_failures_with_repeated_commands() {
+fn partial_failures_with_repeated_requests() {
     assert_random_faults_hold(PARTIAL_FAILURES, seeds("REPEATED_PARTIAL_SEEDS", 0, 6));
 }
 
 #[test]
-fn partial_failures_of_seven_controllers_with_repeated_commands() {
+fn partial_failures_of_seven_controllers_with_repeated_requests() {
     let seeds = seeds("REPEATED_PARTIAL_7_SEEDS", 0, 2);
     assert_random_faults_hold(SEVEN_CONTROLLERS_PARTIAL_FAILURES, seeds);
 }
 
 #[test]
-fn nomad_jobs_with_repeated_commands() {
+fn nomad_jobs_with_repeated_requests() {
     assert_random_faults_hold(SMALL_WITH_NOMAD, seeds("REPEATED_NOMAD_SEEDS", 0, 4));
 }
 
 #[test]
-fn pipelines_with_repeated_commands() {
+fn pipelines_with_repeated_requests() {
     assert_random_faults_hold(Size { pipelines: true, ..SMALL }, seeds("REPEATED_PIPELINES_SEEDS", 0, 4));
 }
