Exits of finished tasks wait 30 s for a raise of their machine's token

Cause: each exit of a task that was started directly led to a raise 3 s later: a grant, a call, an extra report, and a moment in which the machine takes nothing new.

Change: 3 s only where an exited task may have to return to the machine; exits of finished tasks wait 30 s for others, since they only lengthen the reports. 32 exits still don't wait. Whether a report is full is asked cheaply first.

--- a/crates/core/src/controller/assignments.rs
+++ b/crates/core/src/controller/assignments.rs
@@ -93,7 +93,7 @@
         let has_other_attempt = w.tasks.iter().any(|t| t.task == assignment.task);
         if w.agent_epoch == 0
             || has_other_attempt
-            || w.reported_tasks() >= MAX_REPORTED_TASKS
+            || w.has_full_report()
             || !w.acknowledges_commands
             || w.last_contact.is_none_or(|t| now.since(t) > Micros::secs(5))
         {
--- a/crates/core/src/controller/repeated_starts.rs
+++ b/crates/core/src/controller/repeated_starts.rs
@@ -12,13 +12,18 @@
     (TaskId { job: JobId(1), index }, Attempt(100 + u64::from(index)))
 }
 
-/// A report of the first `count` tasks, in this state.
+/// A report of the first `count` tasks, in this state; `done` and `exited` (with an error) are
+/// exited tasks.
 fn report(sequence: u64, fencing_token: FencingToken, count: u32, state: &str) -> Report {
     let reported = |index| ReportedTask {
         task: task(index).0.to_string(),
         attempt: task(index).1.0,
-        state: state.into(),
-        cause: (state == "exited").then(|| "error".into()),
+        state: if state == "done" { "exited".into() } else { state.into() },
+        cause: match state {
+            "exited" => Some("error".into()),
+            "done" => Some("done".into()),
+            _ => None,
+        },
         checkpointed: None,
     };
     Report {
@@ -154,6 +159,15 @@
     }
 }
 
+#[test]
+fn finished_tasks_wait_longer_for_a_higher_token() {
+    for (after, expected) in [(4, false), (29, false), (31, true)] {
+        let mut c = controller_with_exits(1, &Sent::InCall(call_result(200)));
+        cleared(&mut c, &report(6, TOKEN, 1, "done"), NOW);
+        assert_eq!(requests_token(&mut c, NOW + Micros::secs(after)), expected, "after {after} s");
+    }
+}
+
 #[test]
 fn a_start_that_must_not_run_requests_a_higher_token_at_once() {
     let mut c = controller_with_exits(0, &Sent::InResponse);
