--- a/crates/core/src/controller/commands.rs
+++ b/crates/core/src/controller/commands.rs
@@ -1,7 +1,15 @@
 //! Commands to workers, in responses to heartbeats and in direct calls. Invariant: a start is sent
 //! only under its grant's fencing token, and `clear` only in a response whose fencing token rules
 //! out that a call with the start is carried out afterwards.
-use super::*;
+use super::worker::{Delivery, DirectCall, Stop, Worker, is_finished};
+use super::{Controller, PROBE_AFTER, PROBE_TIMEOUT, SCAN_INTERVAL, parse_tasks};
+use crate::jobs::{Job, StateReplica};
+use crate::peer::TaskState;
+use crate::{Call, CallId, CallResult, Outbox, Target};
+use gorseshore_protocol::ids::{Attempt, FencingToken, JobId, MachineId, Micros, TaskId};
+use gorseshore_protocol::workers::{Command, CommandRequest, Report};
+use log::{debug, info, warn};
+use std::collections::BTreeSet;
 
 /// Logs the starts and clears that are sent to a worker, in one line each. A halt is logged by
 /// whoever decides it.
@@ -23,41 +31,41 @@
     }
 }
 
-impl Controller {
-    /// Commands for a machine. `response` is true if they are sent in the response to a heartbeat.
-    pub(super) fn commands(
-        &mut self,
-        id: &MachineId,
-        state_replica: &StateReplica,
-        response: bool,
-        may_start: bool,
-    ) -> Vec<Command> {
-        let acked = self.acked;
-        let Some(w) = self.workers.get_mut(id) else { return Vec::new() };
-        let mut out = Vec::new();
-        let command = |verb: &str, k: &(TaskId, Attempt), grace: Option<f64>| Command {
-            action: verb.into(),
-            task: k.0.to_string(),
-            attempt: k.1.0,
-            grace_period_s: grace,
-        };
-        for t in &w.tasks {
-            let k = (t.task, t.attempt);
-            if t.state.exited() {
-                // `clear` is sent only in responses to heartbeats, after which no earlier response
-                // can be executed. The worker takes the response's token before its commands.
-                let open = w.is_open(&k, w.fencing_token);
-                let recorded = match t.state {
-                    TaskState::Done => is_finished(state_replica.jobs.get(&t.task.job), t.task.index),
-                    _ => w.exits.get(&k).copied().flatten().is_some_and(|seq| seq <= acked),
-                };
-                if response && !open && recorded {
-                    out.push(command("clear", &k, None));
-                }
-                continue;
+fn command(action: &str, (task, attempt): &(TaskId, Attempt), grace_period: Option<Micros>) -> Command {
+    Command {
+        action: action.into(),
+        task: task.to_string(),
+        attempt: attempt.0,
+        grace_period_s: grace_period.map(Micros::as_secs_f64),
+    }
+}
+
+impl Worker {
+    /// Clears of the exited tasks whose results are recorded, and whose starts the response's token
+    /// rules out: the worker takes the token before the commands. `acked` is the last `Sync` that
+    /// the leader has acknowledged.
+    fn clears(&self, state_replica: &StateReplica, acked: u64) -> Vec<Command> {
+        let mut clears = Vec::new();
+        for t in self.tasks.iter().filter(|t| t.state.exited()) {
+            let key = (t.task, t.attempt);
+            let recorded = match t.state {
+                TaskState::Done => is_finished(state_replica.jobs.get(&t.task.job), t.task.index),
+                _ => self.exits.get(&key).copied().flatten().is_some_and(|seq| seq <= acked),
+            };
+            if recorded && !self.is_open(&key, self.fencing_token) {
+                clears.push(command("clear", &key, None));
             }
+        }
+        clears
+    }
+
+    /// Stops of the tasks that must not run; in a direct call only those that none has sent.
+    fn halts(&mut self, state_replica: &StateReplica, response: bool) -> Vec<Command> {
+        let mut halts = Vec::new();
+        for t in self.tasks.iter().filter(|t| !t.state.exited()) {
+            let key = (t.task, t.attempt);
             let unwanted = is_finished(state_replica.jobs.get(&t.task.job), t.task.index);
-            let stop = w.stops.get(&k).copied();
+            let stop = self.stops.get(&key).copied();
             let grace = if unwanted {
                 Some(Micros(0))
             } else {
@@ -67,33 +75,60 @@
             let Some(grace) = grace else { continue };
             let sent = stop.is_some_and(|s| s.sent_direct && s.grace == grace);
             if response || !sent {
-                out.push(command("halt", &k, Some(grace.as_secs_f64())));
-                w.stops.insert(k, Stop { grace, sent_direct: sent || !response });
+                halts.push(command("halt", &key, Some(grace)));
+                self.stops.insert(key, Stop { grace, sent_direct: sent || !response });
             }
         }
+        halts
+    }
+
+    /// Starts that the worker has not carried out yet; in a direct call only those that none has
+    /// sent.
+    fn runs(&mut self, state_replica: &StateReplica, response: bool) -> Vec<Command> {
+        let mut runs = Vec::new();
+        let present: BTreeSet<(TaskId, Attempt)> = self.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+        for (key, start) in self.starts.iter_mut() {
+            let unwanted =
+                is_finished(state_replica.jobs.get(&key.0.job), key.0.index) || self.stops.contains_key(key);
+            if start.reported
+                || present.contains(key)
+                || unwanted
+                || start.fencing_token != self.fencing_token
+                || start.agent_epoch != self.agent_epoch
+            {
+                continue;
+            }
+            if response {
+                start.in_response_to = Some((self.agent_epoch, self.sequence));
+                runs.push(command("run", key, None));
+            } else if start.delivery == Delivery::NotSent && start.in_response_to.is_none() {
+                runs.push(command("run", key, None));
+            }
+        }
+        runs
+    }
+}
+
+impl Controller {
+    /// Commands for a machine. `response` is true if they are sent in the response to a heartbeat.
+    pub(super) fn commands(
+        &mut self,
+        id: &MachineId,
+        state_replica: &StateReplica,
+        response: bool,
+        may_start: bool,
+    ) -> Vec<Command> {
+        let acked = self.acked;
+        let Some(w) = self.workers.get_mut(id) else { return Vec::new() };
+        // `clear` is sent only in responses to heartbeats, after which no earlier response can be
+        // executed.
+        let mut commands = if response { w.clears(state_replica, acked) } else { Vec::new() };
+        commands.extend(w.halts(state_replica, response));
         // No task is started on a worker that commands may not reach: the task would be bound to it.
         if may_start && w.acknowledges_commands {
-            let present: BTreeSet<(TaskId, Attempt)> = w.tasks.iter().map(|t| (t.task, t.attempt)).collect();
-            for (k, s) in w.starts.iter_mut() {
-                let unwanted =
-                    is_finished(state_replica.jobs.get(&k.0.job), k.0.index) || w.stops.contains_key(k);
-                if s.reported
-                    || present.contains(k)
-                    || unwanted
-                    || s.fencing_token != w.fencing_token
-                    || s.agent_epoch != w.agent_epoch
-                {
-                    continue;
-                }
-                if response {
-                    s.in_response_to = Some((w.agent_epoch, w.sequence));
-                    out.push(command("run", k, None));
-                } else if s.delivery == Delivery::NotSent && s.in_response_to.is_none() {
-                    out.push(command("run", k, None));
-                }
-            }
+            commands.extend(w.runs(state_replica, response));
         }
-        out
+        commands
     }
 
     /// Marks a machine as changed: the leader must be notified soon, and a command may be due to the
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -12,8 +12,9 @@
 mod sync;
 mod worker;
 
-use worker::{Delivery, DirectCall, Start, Stop, Worker, is_finished};
+use worker::{Delivery, Start, Stop, Worker, is_finished};
 
+use crate::CallId;
 use crate::jobs::{Job, Phase, StateReplica};
 use crate::peer::pacing::Pacer;
 use crate::peer::{
@@ -21,10 +22,9 @@
     UnleasedReport,
 };
 use crate::placement::{self, Candidate, MAX_REPORTED_TASKS};
-use crate::{Call, CallId, CallResult, Outbox, Target};
 use gorseshore_protocol::ids::{Attempt, FencingToken, JobId, MachineId, Micros, NodeId, Resources, TaskId};
 use gorseshore_protocol::job::JobSpec;
-use gorseshore_protocol::workers::{Command, CommandRequest, HeartbeatSeq, Report};
+use gorseshore_protocol::workers::{Command, HeartbeatSeq, Report};
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/core/src/controller/repeated_starts.rs
+++ b/crates/core/src/controller/repeated_starts.rs
@@ -2,6 +2,7 @@
 //! until the worker has a higher fencing token. Its exited attempt was once cleared before that.
 use super::*;
 use crate::jobs::keys;
+use crate::{CallResult, Outbox};
 use gorseshore_protocol::workers::ReportedTask;
 
 const NOW: Micros = Micros::secs(50);
--- a/crates/core/src/controller/stops.rs
+++ b/crates/core/src/controller/stops.rs
@@ -2,9 +2,9 @@
 //! controller. Stops were once sent a single time, and never to a worker without recent contact, so
 //! that a task ended only with its worker's lease or with the deletion of the machine.
 use super::*;
-use crate::Output;
 use crate::jobs::keys;
-use gorseshore_protocol::workers::ReportedTask;
+use crate::{CallResult, Outbox, Output};
+use gorseshore_protocol::workers::{CommandRequest, ReportedTask};
 
 fn report(sequence: u64) -> Report {
     let reported = ReportedTask {
