Exits of finished tasks wait 3 s for a raise again

Cause: a report with a task of a settled job that is out of memory makes its controller read that job. Exited tasks that stay in the reports for 30 s kept those reads going, and the questions of users waited behind them.

--- a/crates/core/src/controller/repeated_starts.rs
+++ b/crates/core/src/controller/repeated_starts.rs
@@ -161,8 +161,8 @@
 }
 
 #[test]
-fn finished_tasks_wait_longer_for_a_higher_token() {
-    for (after, expected) in [(4, false), (29, false), (31, true)] {
+fn finished_tasks_request_a_higher_token_too() {
+    for (after, expected) in [(2, false), (4, true)] {
         let mut c = controller_with_exits(1, &Sent::InCall(call_result(200)));
         cleared(&mut c, &report(6, TOKEN, 1, "done"), NOW);
         assert_eq!(requests_token(&mut c, NOW + Micros::secs(after)), expected, "after {after} s");
--- a/crates/core/src/controller/worker.rs
+++ b/crates/core/src/controller/worker.rs
@@ -15,10 +15,9 @@
 }
 
 /// An exited task that waits for a higher fencing token waits this long for others to exit, so that
-/// one raise serves all of them. It can't return to its machine meanwhile.
+/// one raise serves all of them. It can't return to its machine meanwhile, and its job is read again
+/// and again if it is out of memory.
 const EXIT_RAISE_DELAY: Micros = Micros::secs(3);
-/// The same where all of them are finished: they only lengthen the reports.
-const FINISHED_RAISE_DELAY: Micros = Micros::secs(30);
 /// This many exited tasks do not wait for others.
 const MAX_WAITING_EXITS: usize = 32;
 /// Largest number of cleared attempts that are remembered for each machine.
@@ -271,16 +270,7 @@
         let must_not_run = |(k, s): (&(TaskId, Attempt), &Start)| {
             !self.has(k) && self.is_open(k, self.fencing_token) && (s.reported || unwanted(k))
         };
-        let may_return = |t: &TaskStatus| {
-            let finished =
-                t.state == TaskState::Done || is_finished(state_replica.jobs.get(&t.task.job), t.task.index);
-            t.state.exited() && !finished && self.is_open(&(t.task, t.attempt), self.fencing_token)
-        };
-        let has_waited = |since| {
-            now.since(since) >= FINISHED_RAISE_DELAY
-                || now.since(since) >= EXIT_RAISE_DELAY && self.tasks.iter().any(may_return)
-        };
-        self.exit_waits_since.is_some_and(has_waited)
+        self.exit_waits_since.is_some_and(|since| now.since(since) >= EXIT_RAISE_DELAY)
             || self.exit_waits_since.is_some() && self.exits_waiting_for_token() >= MAX_WAITING_EXITS
             || self.starts.iter().any(must_not_run)
     }
