--- a/tests/world/repeated_commands.rs
+++ b/tests/world/repeated_commands.rs
@@ -141,7 +141,7 @@
 }
 
 /// An exited attempt is cleared within this time where nothing fails.
-const MAX_CLEAR_TIME: u64 = 45 * S;
+const MAX_CLEAR_TIME: u64 = 15 * S;
 
 /// What happens in a scene.
 #[derive(Debug, Clone, Copy)]
