One definition of an unwanted attempt, and of a call that a worker carries out

The controller said in three places when an attempt must not be started any more; the world carried out a worker's call in two. The comment on the scenes' restarts named 68 ms, but a scenario restarts after 100 ms at the least.

--- a/crates/core/src/controller/commands.rs
+++ b/crates/core/src/controller/commands.rs
@@ -1,7 +1,7 @@
 //! Commands to workers, in responses to heartbeats and in direct calls. Invariant: a start is sent
 //! only under its grant's fencing token, and `clear` only in a response whose fencing token rules
 //! out that a call with the start is carried out afterwards.
-use super::worker::{Delivery, DirectCall, Stop, Worker, is_finished};
+use super::worker::{Delivery, DirectCall, Stop, Worker, is_finished, is_unwanted};
 use super::{Controller, PROBE_AFTER, PROBE_TIMEOUT, SCAN_INTERVAL, parse_tasks};
 use crate::jobs::{Job, StateReplica};
 use crate::peer::TaskState;
@@ -88,11 +88,9 @@
         let mut runs = Vec::new();
         let present: BTreeSet<(TaskId, Attempt)> = self.tasks.iter().map(|t| (t.task, t.attempt)).collect();
         for (key, start) in self.starts.iter_mut() {
-            let unwanted =
-                is_finished(state_replica.jobs.get(&key.0.job), key.0.index) || self.stops.contains_key(key);
             if start.reported
                 || present.contains(key)
-                || unwanted
+                || is_unwanted(key, &self.stops, state_replica)
                 || start.fencing_token != self.fencing_token
                 || start.agent_epoch != self.agent_epoch
             {
@@ -167,7 +165,7 @@
             let may_arrive = s.reported || s.delivery == Delivery::Sent || s.in_response_to.is_some();
             may_arrive
                 || tasks.iter().any(|t| (t.task, t.attempt) == *k)
-                || !(is_finished(state_replica.jobs.get(&k.0.job), k.0.index) || stops.contains_key(k))
+                || !is_unwanted(k, stops, state_replica)
         });
         if before != w.starts.len() {
             self.mark_changed(id);
--- a/crates/core/src/controller/worker.rs
+++ b/crates/core/src/controller/worker.rs
@@ -264,11 +264,10 @@
     /// Whether a higher fencing token is due: at once for a start that may still be carried out and
     /// whose task must not run, and for exited tasks after they have waited.
     pub(super) fn needs_new_token(&self, state_replica: &StateReplica, now: Micros) -> bool {
-        let unwanted = |k: &(TaskId, Attempt)| {
-            is_finished(state_replica.jobs.get(&k.0.job), k.0.index) || self.stops.contains_key(k)
-        };
         let must_not_run = |(k, s): (&(TaskId, Attempt), &Start)| {
-            !self.has(k) && self.is_open(k, self.fencing_token) && (s.reported || unwanted(k))
+            !self.has(k)
+                && self.is_open(k, self.fencing_token)
+                && (s.reported || is_unwanted(k, &self.stops, state_replica))
         };
         self.exit_waits_since.is_some_and(|since| now.since(since) >= EXIT_RAISE_DELAY)
             || self.exit_waits_since.is_some() && self.exits_waiting_for_token() >= MAX_WAITING_EXITS
@@ -309,6 +308,15 @@
         .map_or(Resources { cpu: 1_000_000, gpu: 0, mem: 1_000_000 }, |s| s.task_resources)
 }
 
+/// Whether an attempt must not be started any more: its task is finished, or it is to be stopped.
+pub(super) fn is_unwanted(
+    key: &(TaskId, Attempt),
+    stops: &BTreeMap<(TaskId, Attempt), Stop>,
+    state_replica: &StateReplica,
+) -> bool {
+    is_finished(state_replica.jobs.get(&key.0.job), key.0.index) || stops.contains_key(key)
+}
+
 /// Whether the task needs no run any more: its job ended, it is recorded as done, or the job no
 /// longer has a task of this index.
 pub(super) fn is_finished(job: Option<&Job>, index: u32) -> bool {
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -1053,6 +1053,19 @@
         }
     }
 
+    /// A worker carries out a call; returns its answer, or `None` if the machine is gone.
+    fn carry_out_worker_call(&mut self, addr: &str, call: &Call) -> Option<(u16, Vec<u8>)> {
+        let lease = self.size.lease;
+        self.with_machine(addr, |m, f, now| {
+            m.enforce_lease(now, lease);
+            if call.path == "/status" {
+                return (200, serde_json::to_vec(&m.report()).unwrap());
+            }
+            let d: CommandRequest = serde_json::from_slice(&call.body).unwrap();
+            m.apply_command_request(&d, f, now)
+        })
+    }
+
     fn execute_call(&mut self, n: usize, incarnation: u64, id: CallId, call: Call) {
         let now = self.now;
         let answer = match &call.target {
@@ -1082,21 +1095,14 @@
                 Some(answer)
             }
             Target::Worker(addr) => {
-                let (addr, lease) = (addr.clone(), self.size.lease);
+                let addr = addr.clone();
                 let hung = self.machines.get(&addr).map_or(0, |m| m.hung_until);
                 if hung > now {
                     // Executed when the machine resumes.
                     self.at(hung - now + 500, Event::CallArrives(n, incarnation, id, call));
                     return;
                 }
-                let out = self.with_machine(&addr, |m, f, now| {
-                    m.enforce_lease(now, lease);
-                    if call.path == "/status" {
-                        return (200, serde_json::to_vec(&m.report()).unwrap());
-                    }
-                    let d: CommandRequest = serde_json::from_slice(&call.body).unwrap();
-                    m.apply_command_request(&d, f, now)
-                });
+                let out = self.carry_out_worker_call(&addr, &call);
                 if call.path == "/do" && matches!(out, Some((200, _))) {
                     self.repeat_command(&call);
                 }
--- a/tests/world/repeated_commands.rs
+++ b/tests/world/repeated_commands.rs
@@ -110,16 +110,12 @@
     /// Carries out a command once more.
     pub fn carry_out_again(&mut self, call: &Call) {
         let Target::Worker(addr) = &call.target else { return };
-        let (now, lease) = (self.now, self.size.lease);
+        let now = self.now;
         let hung = self.machines.get(addr).map_or(0, |m| m.hung_until);
         if hung > now {
             return self.at(hung - now + 500, Event::RepeatedCommand(call.clone()));
         }
-        let request: CommandRequest = serde_json::from_slice(&call.body).unwrap();
-        let answer = self.with_machine(addr, |m, profile_of, now| {
-            m.enforce_lease(now, lease);
-            m.apply_command_request(&request, profile_of, now)
-        });
+        let answer = self.carry_out_worker_call(addr, call);
         self.repetitions.carried_out += matches!(answer, Some((200, _))) as usize;
     }
 
@@ -165,7 +161,8 @@
     steps: &'static [(u64, Step)],
 }
 
-/// A restart within 68 ms, in thousandths of the time that a cancellation may take.
+/// Shorter than the shortest restart of a scenario, 100 ms, in thousandths of the time that a
+/// cancellation may take.
 const AT_ONCE: u64 = 2;
 
 const SCENES: &[Scene] = &[
