--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -10,6 +10,8 @@
 #[cfg(test)]
 mod stops;
 mod sync;
+#[cfg(test)]
+mod test_reports;
 mod worker;
 
 use worker::{Delivery, Start, Stop, Worker, is_finished};
--- a/crates/core/src/controller/repeated_starts.rs
+++ b/crates/core/src/controller/repeated_starts.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::jobs::keys;
 use crate::{CallResult, Outbox};
-use gorseshore_protocol::workers::ReportedTask;
+use test_reports::reported_task;
 
 const NOW: Micros = Micros::secs(50);
 const TOKEN: FencingToken = FencingToken(7);
@@ -16,29 +16,13 @@
 /// A report of the first `count` tasks, in this state; `done` and `exited` (with an error) are
 /// exited tasks.
 fn report(sequence: u64, fencing_token: FencingToken, count: u32, state: &str) -> Report {
-    let reported = |index| ReportedTask {
-        task: task(index).0.to_string(),
-        attempt: task(index).1.0,
-        state: if state == "done" { "exited".into() } else { state.into() },
-        cause: match state {
-            "exited" => Some("error".into()),
-            "done" => Some("done".into()),
-            _ => None,
-        },
-        checkpointed: None,
+    let (state, cause) = match state {
+        "exited" => ("exited", Some("error")),
+        "done" => ("exited", Some("done")),
+        state => (state, None),
     };
-    Report {
-        machine: "m".into(),
-        addr: "m:1".into(),
-        machine_type: "b".into(),
-        zone: "z".into(),
-        spot: false,
-        agent_epoch: 1,
-        sequence,
-        fencing_token: fencing_token.0,
-        preemption_notice_s: None,
-        tasks: (0..count).map(reported).collect(),
-    }
+    let reported = |index| reported_task(&task(index).0.to_string(), task(index).1.0, state, cause);
+    test_reports::report(1, sequence, fencing_token.0, (0..count).map(reported).collect())
 }
 
 fn grant(fencing_token: FencingToken) -> GrantedMachine {
--- a/crates/core/src/controller/stale_heartbeats.rs
+++ b/crates/core/src/controller/stale_heartbeats.rs
@@ -3,6 +3,7 @@
 use super::*;
 use gorseshore_protocol::workers::ReportedTask;
 use proptest::prelude::*;
+use test_reports::reported_task;
 
 /// Reports of one worker in the order in which it sent them: its agent restarts at times, tasks
 /// start, run and exit, and it receives its fencing token at some time.
@@ -21,28 +22,12 @@
                 _ => {
                     tasks.retain(|p| p.attempt != task);
                     let (stage, cause) = stages[stage];
-                    let task_id = format!("j-00000{task}/0");
-                    let cause = cause.map(str::to_owned);
-                    tasks.push(ReportedTask {
-                        task: task_id,
-                        attempt: task,
-                        state: stage.into(),
-                        cause,
-                        checkpointed: None,
-                    });
+                    tasks.push(reported_task(&format!("j-00000{task}/0"), task, stage, cause));
                 }
             }
             reports.push(Report {
-                machine: "m".into(),
-                addr: "m:1".into(),
-                machine_type: "b".into(),
-                zone: "z".into(),
-                spot: false,
-                agent_epoch,
-                sequence: n as u64 + 1,
-                fencing_token,
                 preemption_notice_s: (change == 3).then_some(9.0),
-                tasks: tasks.clone(),
+                ..test_reports::report(agent_epoch, n as u64 + 1, fencing_token, tasks.clone())
             });
         }
         reports
--- a/crates/core/src/controller/stops.rs
+++ b/crates/core/src/controller/stops.rs
@@ -4,28 +4,11 @@
 use super::*;
 use crate::jobs::keys;
 use crate::{CallResult, Outbox, Output};
-use gorseshore_protocol::workers::{CommandRequest, ReportedTask};
+use gorseshore_protocol::workers::CommandRequest;
+use test_reports::reported_task;
 
 fn report(sequence: u64) -> Report {
-    let reported = ReportedTask {
-        task: "j-000001/0".into(),
-        attempt: 3,
-        state: "running".into(),
-        cause: None,
-        checkpointed: None,
-    };
-    Report {
-        machine: "m".into(),
-        addr: "m:1".into(),
-        machine_type: "b".into(),
-        zone: "z".into(),
-        spot: false,
-        agent_epoch: 1,
-        sequence,
-        fencing_token: 7,
-        preemption_notice_s: None,
-        tasks: vec![reported],
-    }
+    test_reports::report(1, sequence, 7, vec![reported_task("j-000001/0", 3, "running", None)])
 }
 
 /// A controller with a machine whose last contact is at `contact`, and which runs a task of a job
